--- a/src/app/command.h
+++ b/src/app/command.h
@@ -25,6 +25,7 @@
 /// Returns every subcommand, in the order in which the help lists them.
 const std::vector<Command> &commands();
 
+int entryMain(int argc, char **argv);
 int serveMain(int argc, char **argv);
 int checkMain(int argc, char **argv);
 int queryMain(int argc, char **argv);
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -5,6 +5,7 @@
 const std::vector<Command> &commands()
 {
     static const std::vector<Command> all{
+        {"entry", "run one entry VM on a platform with a store", entryMain},
         {"serve", "run one entry VM", serveMain},
         {"check", "check settings or the operators' document", checkMain},
         {"query", "send one query as a caller does", queryMain},
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -51,9 +51,26 @@
     , documentsRaced(counters(*m_registry, "mangoshift_documents_raced_total",
                               "Documents edited from a version that had been replaced")
                          .Add({}))
+    , entryRequests(
+          counters(*m_registry, "mangoshift_entry_requests_total", "Requests answered"))
+    , entrySeconds(prometheus::BuildHistogram()
+                       .Name("mangoshift_entry_request_duration_seconds")
+                       .Help("Time from receipt to answer")
+                       .Register(*m_registry))
+    , storeReads(counters(*m_registry, "mangoshift_store_reads_total", "Reads of the store"))
+    , storeSeconds(prometheus::BuildHistogram()
+                       .Name("mangoshift_store_read_duration_seconds")
+                       .Help("Time from asking the store to its answer")
+                       .Register(*m_registry)
+                       .Add({}, latencyBuckets()))
 {
 }
 
+prometheus::Histogram::BucketBoundaries latencyBuckets()
+{
+    return {0.002, 0.005, 0.01, 0.02, 0.04, 0.06, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.5, 5.0, 10.0};
+}
+
 std::string Metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -53,6 +53,17 @@
     prometheus::Family<prometheus::Counter> &heartbeats;
     /// Documents in force that were edited from a version which had been replaced by then.
     prometheus::Counter &documentsRaced;
+    /// Requests that an entry VM has answered, by `route`, `outcome` and `reason`.
+    prometheus::Family<prometheus::Counter> &entryRequests;
+    /// From receipt to answer at an entry VM, by `route`, in seconds.
+    prometheus::Family<prometheus::Histogram> &entrySeconds;
+    /// Reads of the store, by `outcome` (`ok`, `refused`, `failed`, `history_gone`).
+    prometheus::Family<prometheus::Counter> &storeReads;
+    /// From asking the store to its answer, watches included, in seconds.
+    prometheus::Histogram &storeSeconds;
 };
 
+/// Returns the bounds of all histograms of latencies, in seconds.
+prometheus::Histogram::BucketBoundaries latencyBuckets();
+
 } // namespace mangoshift
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -143,4 +143,10 @@
     return schema;
 }
 
+const JsonSchema &entrySchema()
+{
+    static const JsonSchema schema(EntrySchemaText);
+    return schema;
+}
+
 } // namespace mangoshift
--- a/src/config/schema.h
+++ b/src/config/schema.h
@@ -8,9 +8,10 @@
 
 namespace mangoshift {
 
-/// The texts of `schemas/settings.schema.json` and `schemas/document.schema.json`.
+/// The texts of `schemas/*.schema.json`.
 extern const char *const SettingsSchemaText;
 extern const char *const DocumentSchemaText;
+extern const char *const EntrySchemaText;
 
 /// A JSON Schema that texts are checked against. May be used from any thread.
 class JsonSchema
@@ -31,5 +32,6 @@
 
 const JsonSchema &settingsSchema();
 const JsonSchema &documentSchema();
+const JsonSchema &entrySchema();
 
 } // namespace mangoshift
--- /dev/null
+++ b/src/core/requestmachine.cpp
@@ -0,0 +1,159 @@
+#include "mangoshift/requestmachine.h"
+
+#include <algorithm>
+
+namespace mangoshift {
+
+namespace {
+
+/// How many targets may refuse one copy before the part counts as failed. With two to ten targets a
+/// service, more refusals in a row mean that all of them are full.
+constexpr std::uint32_t MaxRefusals = 3;
+
+} // namespace
+
+RequestMachine::RequestMachine(const RequestTerms &terms)
+    : m_terms(terms)
+    , m_parts(terms.parts)
+{
+}
+
+RequestActions RequestMachine::start(Clock::time_point now)
+{
+    RequestActions actions;
+    actions.reserve(m_parts.size());
+    for (std::size_t i = 0; i < m_parts.size(); ++i)
+        actions.emplace_back(send(i, SendCause::First, now));
+    return actions;
+}
+
+SendPart RequestMachine::send(std::size_t part, SendCause cause, Clock::time_point now)
+{
+    Part &state = m_parts[part];
+    ++state.inFlight;
+    ++state.attempts;
+    state.hedgeAt = now + m_terms.hedgeDelay;
+    return {part, cause};
+}
+
+RequestActions RequestMachine::onAnswered(std::size_t part, Clock::time_point now)
+{
+    RequestActions actions;
+    Part &state = m_parts[part];
+    --state.inFlight;
+    if (m_isFinished || state.state == PartState::Answered)
+        return actions;
+    if (state.state == PartState::Failed)
+        --m_failed;
+    state.state = PartState::Answered;
+    ++m_answered;
+    finishIfDecided(actions, now);
+    return actions;
+}
+
+bool RequestMachine::mayRetry(const Part &part, const Verdict &verdict) const
+{
+    if (part.attempts >= m_terms.maxAttempts || part.refusals >= MaxRefusals)
+        return false;
+    return verdict.execution == Execution::NotRun || m_terms.isIdempotent;
+}
+
+RequestActions RequestMachine::onFailed(std::size_t part, const Verdict &verdict,
+                                        Clock::time_point now)
+{
+    RequestActions actions;
+    Part &state = m_parts[part];
+    --state.inFlight;
+    if (verdict.execution == Execution::NotRun) {
+        --state.attempts;
+        ++state.refusals;
+    }
+    if (m_isFinished)
+        return actions;
+    m_execution = std::max(m_execution, verdict.execution);
+    m_lastFailure = verdict;
+    if (state.state != PartState::Pending || state.inFlight > 0)
+        return actions;
+    if (verdict.reason != Reason::NoReplica && mayRetry(state, verdict)) {
+        actions.emplace_back(send(part, SendCause::Retry, now));
+        return actions;
+    }
+    state.state = PartState::Failed;
+    ++m_failed;
+    finishIfDecided(actions, now);
+    return actions;
+}
+
+void RequestMachine::onHedgeDropped(std::size_t part)
+{
+    Part &state = m_parts[part];
+    --state.inFlight;
+    --state.attempts;
+    state.mayHedge = false;
+}
+
+RequestActions RequestMachine::onTime(Clock::time_point now)
+{
+    RequestActions actions;
+    if (m_isFinished)
+        return actions;
+    if (now >= m_terms.deadline) {
+        m_isFinished = true;
+        if (m_answered >= m_terms.leastParts)
+            actions.emplace_back(GiveAnswer{});
+        else
+            actions.emplace_back(failure(Reason::DeadlineExceeded));
+        return actions;
+    }
+    finishIfDecided(actions, now);
+    if (m_isFinished || !m_terms.isIdempotent)
+        return actions;
+    for (std::size_t i = 0; i < m_parts.size(); ++i) {
+        Part &part = m_parts[i];
+        if (part.state == PartState::Pending && part.mayHedge && part.hedgeAt <= now) {
+            part.mayHedge = false;
+            if (part.attempts < m_terms.maxAttempts)
+                actions.emplace_back(send(i, SendCause::Hedge, now));
+        }
+    }
+    return actions;
+}
+
+void RequestMachine::finishIfDecided(RequestActions &actions, Clock::time_point now)
+{
+    const std::size_t pending = m_parts.size() - m_answered - m_failed;
+    const bool isEnough = m_answered >= m_terms.leastParts;
+    if (isEnough && (pending == 0 || now >= m_terms.replyBy)) {
+        m_isFinished = true;
+        actions.emplace_back(GiveAnswer{});
+    } else if (m_answered + pending < m_terms.leastParts) {
+        m_isFinished = true;
+        actions.emplace_back(failure(m_lastFailure.reason));
+    }
+}
+
+GiveFailure RequestMachine::failure(Reason reason) const
+{
+    Execution execution = m_execution;
+    for (const Part &part : m_parts)
+        if (part.state == PartState::Answered)
+            execution = Execution::Ran;
+        else if (part.inFlight > 0)
+            execution = std::max(execution, Execution::MayHaveRun);
+    return {{execution, reason, m_lastFailure.retryAfter}};
+}
+
+Clock::time_point RequestMachine::nextEvent() const
+{
+    Clock::time_point next = m_terms.deadline;
+    if (m_answered >= m_terms.leastParts)
+        next = std::min(next, m_terms.replyBy);
+    if (!m_terms.isIdempotent)
+        return next;
+    for (const Part &part : m_parts)
+        if (part.state == PartState::Pending && part.mayHedge)
+            next = std::min(next, part.hedgeAt);
+    return next;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/core/storefollower.cpp
@@ -0,0 +1,82 @@
+#include "mangoshift/storefollower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangoshift {
+
+namespace {
+
+/// The wait after a first failure; it doubles with each failure on end.
+constexpr std::chrono::milliseconds FirstWait{50};
+/// The longest wait: a store that is back is heard of within this time, well inside the three
+/// seconds in which a configuration has to be in force.
+constexpr std::chrono::milliseconds LongestWait{400};
+
+} // namespace
+
+StoreStep StoreFollower::start()
+{
+    return next();
+}
+
+StoreStep StoreFollower::next() const
+{
+    if (m_isListing)
+        return ReadPage{m_afterKey};
+    return WatchChanges{m_revision};
+}
+
+void StoreFollower::onAnswer()
+{
+    m_isBack = m_isBack || m_failures > 0;
+    m_failures = 0;
+}
+
+StoreStep StoreFollower::onPage(std::uint64_t revision, bool isLast, const std::string &lastKey)
+{
+    onAnswer();
+    // Pages are no snapshot: changes since the first of them have to be seen again.
+    if (m_afterKey.empty())
+        m_revision = revision;
+    m_afterKey = lastKey;
+    if (isLast) {
+        m_isListing = false;
+        m_afterKey.clear();
+    }
+    return next();
+}
+
+StoreStep StoreFollower::onChanges(std::uint64_t revision)
+{
+    onAnswer();
+    m_revision = std::max(m_revision, revision);
+    return next();
+}
+
+StoreStep StoreFollower::onHistoryGone()
+{
+    onAnswer();
+    m_isListing = true;
+    m_afterKey.clear();
+    return next();
+}
+
+StoreStep StoreFollower::onFailure()
+{
+    const auto delay = FirstWait * (1U << std::min(m_failures, 3U));
+    ++m_failures;
+    return WaitBeforeNext{std::min(delay, LongestWait)};
+}
+
+StoreStep StoreFollower::onWaited() const
+{
+    return next();
+}
+
+bool StoreFollower::takeIsBack()
+{
+    return std::exchange(m_isBack, false);
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/core/targetload.cpp
@@ -0,0 +1,101 @@
+#include "mangoshift/targetload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace mangoshift {
+
+namespace {
+
+/// The weight of the newest answer in the moving average of slowness: some ten answers decide,
+/// which is about a second of one VM's requests to one target on the users' deployments.
+constexpr double SlownessWeight = 0.2;
+constexpr double MaxSlowness = 10.0;
+constexpr double MinSlowness = 0.5;
+/// How long a target is avoided after a first stall or loss: the pauses that the users' targets
+/// make from time to time take 200 ms.
+constexpr std::chrono::milliseconds FirstAvoidance{200};
+/// The longest avoidance; a target that is back gets a request within this time.
+constexpr std::chrono::milliseconds LongestAvoidance{1600};
+/// How long a target that has refused a request is avoided: about one request's work.
+constexpr std::chrono::milliseconds RefusalAvoidance{20};
+constexpr double WarmupCost = 1.6;
+
+} // namespace
+
+void TargetLoad::onAnswered(Clock::duration latency, Clock::duration expected,
+                            Clock::time_point now)
+{
+    --m_inFlight;
+    m_strikes = 0;
+    m_avoidUntil = std::min(m_avoidUntil, now);
+    if (expected.count() <= 0)
+        return;
+    const double ratio =
+        static_cast<double>(latency.count()) / static_cast<double>(expected.count());
+    m_slowness +=
+        SlownessWeight * (std::clamp(ratio, MinSlowness, MaxSlowness) - m_slowness);
+}
+
+void TargetLoad::onRefused(Clock::time_point now)
+{
+    --m_inFlight;
+    m_avoidUntil = std::max(m_avoidUntil, now + RefusalAvoidance);
+}
+
+void TargetLoad::onLost(Clock::time_point now)
+{
+    --m_inFlight;
+    avoid(now);
+}
+
+void TargetLoad::onOverdue(Clock::time_point now)
+{
+    if (!isAvoided(now))
+        avoid(now);
+}
+
+void TargetLoad::avoid(Clock::time_point now)
+{
+    const auto doubled = FirstAvoidance * (1U << std::min(m_strikes, 3U));
+    ++m_strikes;
+    m_avoidUntil =
+        std::max(m_avoidUntil, now + std::min<Clock::duration>(doubled, LongestAvoidance));
+}
+
+double TargetLoad::cost(Clock::time_point now) const
+{
+    return (m_inFlight + 1.0) * m_slowness * (now < m_warmUntil ? WarmupCost : 1.0);
+}
+
+std::optional<std::size_t> pickTarget(std::span<const TargetLoad *const> targets,
+                                      Clock::time_point now, double draw)
+{
+    if (targets.empty())
+        return std::nullopt;
+    const bool isAnyFree = std::any_of(targets.begin(), targets.end(),
+                                       [now](const auto *load) { return !load->isAvoided(now); });
+    std::vector<double> weights(targets.size(), 0.0);
+    double total = 0.0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (isAnyFree && targets[i]->isAvoided(now))
+            continue;
+        const double cost = targets[i]->cost(now);
+        weights[i] = 1.0 / (cost * cost);
+        total += weights[i];
+    }
+    double left = draw * total;
+    std::size_t picked = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        if (weights[i] <= 0.0)
+            continue;
+        picked = i;
+        left -= weights[i];
+        if (left < 0.0)
+            break;
+    }
+    return picked;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/core/targetregistry.cpp
@@ -0,0 +1,101 @@
+#include "mangoshift/targetregistry.h"
+
+#include <tuple>
+#include <utility>
+
+namespace mangoshift {
+
+namespace {
+
+bool isOlder(const RegisteredTarget &report, const RegisteredTarget &known)
+{
+    return std::tie(report.startedAt, report.sequence) < std::tie(known.startedAt, known.sequence);
+}
+
+/// Whether the two differ in what matters to those that use the target.
+bool saysTheSame(RegisteredTarget a, const RegisteredTarget &b)
+{
+    a.sequence = b.sequence;
+    a.warmupLeft = b.warmupLeft;
+    return a == b;
+}
+
+} // namespace
+
+TargetRegistry::TargetRegistry(std::chrono::milliseconds returnGrace)
+    : m_returnGrace(returnGrace)
+{
+}
+
+std::vector<RegistryChange> TargetRegistry::put(const RegisteredTarget &target)
+{
+    const auto [it, isNew] = m_targets.try_emplace(target.id, target);
+    if (!isNew && isOlder(target, it->second))
+        return {};
+    m_held.erase(target.id);
+    if (isNew)
+        return {TargetListed{target}};
+    const bool isUnchanged = saysTheSame(it->second, target);
+    it->second = target;
+    if (isUnchanged)
+        return {};
+    return {TargetListed{target}};
+}
+
+std::vector<RegistryChange> TargetRegistry::remove(const TargetId &id, Clock::time_point now)
+{
+    if (!m_targets.contains(id))
+        return {};
+    if (now < m_heldUntil) {
+        m_held.insert(id);
+        return {};
+    }
+    m_targets.erase(id);
+    return {TargetDelisted{id}};
+}
+
+std::vector<RegistryChange>
+TargetRegistry::replaceAll(const std::vector<RegisteredTarget> &targets, Clock::time_point now)
+{
+    std::vector<RegistryChange> changes;
+    std::set<TargetId> listed;
+    for (const RegisteredTarget &target : targets) {
+        listed.insert(target.id);
+        for (RegistryChange &change : put(target))
+            changes.push_back(std::move(change));
+    }
+    std::vector<TargetId> missing;
+    for (const auto &[id, target] : m_targets)
+        if (!listed.contains(id))
+            missing.push_back(id);
+    for (const TargetId &id : missing)
+        for (RegistryChange &change : remove(id, now))
+            changes.push_back(std::move(change));
+    return changes;
+}
+
+void TargetRegistry::onStoreBack(Clock::time_point now)
+{
+    m_heldUntil = now + m_returnGrace;
+}
+
+std::vector<RegistryChange> TargetRegistry::expire(Clock::time_point now)
+{
+    if (m_held.empty() || now < m_heldUntil)
+        return {};
+    std::vector<RegistryChange> changes;
+    for (const TargetId &id : std::exchange(m_held, {})) {
+        m_targets.erase(id);
+        changes.emplace_back(TargetDelisted{id});
+    }
+    return changes;
+}
+
+std::optional<Clock::time_point> TargetRegistry::nextExpiry() const
+{
+    if (m_held.empty())
+        return std::nullopt;
+    return m_heldUntil;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/entryduty.cpp
@@ -0,0 +1,273 @@
+#include "entry/entryduty.h"
+
+#include <future>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "base/log.h"
+
+namespace mangoshift {
+
+namespace {
+
+constexpr std::size_t RingCapacity = 4096;
+/// How often overdue connections are looked for; time-outs are this much coarser.
+constexpr std::chrono::milliseconds SweepInterval{100};
+/// How long a leaving VM takes new connections: the balancer asks once a second and takes a VM out
+/// after two misses.
+constexpr std::chrono::milliseconds AcceptWhileLeaving{2300};
+/// What is still unanswered this long before the end of the patience gets a final answer.
+constexpr std::chrono::milliseconds LastAnswerMargin{400};
+constexpr std::size_t MaxBalancerConnections = 64;
+
+} // namespace
+
+EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics)
+    : m_settings(settings)
+    , m_adapter(adapter)
+    , m_duty("entry", RingCapacity)
+    , m_state{m_duty.io(),
+              m_settings,
+              adapter,
+              metrics,
+              TargetDirectory(m_duty.io(), adapter.headers.target, settings.vmsAtMost),
+              {},
+              {}}
+    , m_filters(adapter.headers)
+    , m_callers(m_duty.io(), settings.maxCallerConnections, callerEvents())
+    , m_balancer(m_duty.io(), MaxBalancerConnections, readyEvents())
+    , m_sweepTimer(m_duty.io())
+{
+}
+
+EntryDuty::~EntryDuty()
+{
+    stop();
+}
+
+bool EntryDuty::start()
+{
+    if (!m_callers.listen(m_settings.callerAddress)) {
+        logEvent(LogLevel::Error, "listen_failed", {{"field", "caller_address"}});
+        return false;
+    }
+    if (!m_balancer.listen(m_settings.readyAddress)) {
+        logEvent(LogLevel::Error, "listen_failed", {{"field", "ready_address"}});
+        return false;
+    }
+    armSweep();
+    m_duty.start([this](Message &message) { handle(message); });
+    return true;
+}
+
+void EntryDuty::stop()
+{
+    m_duty.stop();
+}
+
+void EntryDuty::post(Message message)
+{
+    if (!m_duty.tryPostMessage(message))
+        logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
+}
+
+void EntryDuty::setRouting(RoutingTablePtr routing)
+{
+    post(RoutingChanged{std::move(routing)});
+}
+
+void EntryDuty::applyTargets(std::vector<RegistryChange> changes)
+{
+    post(TargetsChanged{std::move(changes)});
+}
+
+void EntryDuty::setListed()
+{
+    post(Listed{});
+}
+
+void EntryDuty::startLeaving(Clock::time_point deadline)
+{
+    post(Leave{deadline});
+}
+
+void EntryDuty::handle(Message &message)
+{
+    std::visit(Overloaded{[this](RoutingChanged &changed) {
+                              m_routing = std::move(changed.routing);
+                              m_state.directory.setRouting(m_routing);
+                              m_callers.setLimits(m_routing->document().limits);
+                              m_state.metrics.configVersion.Set(
+                                  static_cast<double>(m_routing->version()));
+                              updateReady();
+                          },
+                          [this](TargetsChanged &changed) {
+                              m_state.directory.apply(changed.changes, Clock::now());
+                          },
+                          [this](Listed &) {
+                              m_hasListed = true;
+                              updateReady();
+                          },
+                          [this](Leave &leave) {
+                              m_isLeaving = true;
+                              m_leavingSince = Clock::now();
+                              m_leaveDeadline = leave.deadline;
+                              m_callers.closeAfterAnswers();
+                              updateReady();
+                          },
+                          [this](StateRequest &request) { request.reply(stateJson()); }},
+               message);
+}
+
+void EntryDuty::updateReady()
+{
+    const bool isReady = m_routing && m_hasListed && !m_isLeaving;
+    if (m_isReady.exchange(isReady) != isReady)
+        logEvent(LogLevel::Info, isReady ? "vm_ready" : "vm_not_ready",
+                 {{"config_version", std::to_string(m_routing ? m_routing->version() : 0)},
+                  {"targets", std::to_string(m_state.directory.targets())},
+                  {"leaving", m_isLeaving ? "true" : "false"}});
+}
+
+CallerEvents EntryDuty::callerEvents()
+{
+    CallerEvents events;
+    events.onRequest = [this](const CallerConnectionPtr &connection, HttpRequest http) {
+        onRequest(connection, std::move(http));
+    };
+    events.onLeft = [this](const CallerConnectionPtr &connection) {
+        const auto it = m_exchanges.find(connection);
+        if (it == m_exchanges.end())
+            return;
+        const std::shared_ptr<RequestExchange> exchange = it->second;
+        exchange->onCallerLeft();
+    };
+    events.onRejected = [](int status) {
+        logEvent(LogLevel::Info, "request_rejected", {{"status", std::to_string(status)}});
+    };
+    return events;
+}
+
+CallerEvents EntryDuty::readyEvents()
+{
+    CallerEvents events;
+    events.onRequest = [this](const CallerConnectionPtr &connection, const HttpRequest &http) {
+        onReadyRequest(connection, http);
+    };
+    events.onLeft = [](const CallerConnectionPtr &) {};
+    events.onRejected = [](int) {};
+    return events;
+}
+
+void EntryDuty::onReadyRequest(const CallerConnectionPtr &connection, const HttpRequest &http)
+{
+    HttpResponse response;
+    if (http.target == m_adapter.readyPath)
+        response.status = m_isReady ? 200 : 503;
+    else
+        response.status = 404;
+    connection->respond(std::move(response));
+}
+
+void EntryDuty::onRequest(const CallerConnectionPtr &connection, HttpRequest http)
+{
+    IncomingRequest request;
+    request.connection = connection;
+    request.http = std::move(http);
+    request.receivedAt = Clock::now();
+    // Without the list of targets nothing can be sent, whatever the configuration says.
+    if (m_hasListed)
+        request.routing = m_routing;
+    if (const auto rejection = m_filters.apply(request)) {
+        reject(request, *rejection);
+        return;
+    }
+    const auto exchange = std::make_shared<RequestExchange>(
+        m_state, std::move(request),
+        [this](const std::shared_ptr<RequestExchange> &ended) { onFinished(ended); });
+    m_exchanges.emplace(connection, exchange);
+    exchange->start();
+}
+
+void EntryDuty::reject(const IncomingRequest &request, const Rejection &rejection)
+{
+    m_state.metrics.refusals.Add({{"reason", std::string(toString(rejection.verdict.reason))}})
+        .Increment();
+    logEvent(LogLevel::Info, "request_rejected",
+             {{"request", request.id},
+              {"host", std::string(request.http.headers.value("host"))},
+              {"path", request.http.target},
+              {"config_version",
+               std::to_string(request.routing ? request.routing->version() : 0)},
+              {"status", std::to_string(rejection.status)},
+              {"reason", std::string(toString(rejection.verdict.reason))}});
+    request.connection->respond(failureResponse(rejection.status, rejection.verdict));
+}
+
+void EntryDuty::onFinished(const std::shared_ptr<RequestExchange> &exchange)
+{
+    m_exchanges.erase(exchange->request().connection);
+}
+
+void EntryDuty::armSweep()
+{
+    m_sweepTimer.expires_after(SweepInterval);
+    m_sweepTimer.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        sweep();
+        armSweep();
+    });
+}
+
+void EntryDuty::sweep()
+{
+    const Clock::time_point now = Clock::now();
+    m_callers.sweep(now);
+    m_balancer.sweep(now);
+    m_state.directory.sweep(now);
+    if (m_isLeaving)
+        sweepLeaving(now);
+}
+
+void EntryDuty::sweepLeaving(Clock::time_point now)
+{
+    if (now - m_leavingSince < AcceptWhileLeaving && now < m_leaveDeadline - LastAnswerMargin)
+        return;
+    m_callers.stopAccepting();
+    m_callers.closeIdle();
+    if (now >= m_leaveDeadline - LastAnswerMargin) {
+        const auto exchanges = m_exchanges;
+        for (const auto &[connection, exchange] : exchanges)
+            exchange->giveUp(Reason::Draining);
+    }
+    if (m_callers.connections() == 0)
+        m_hasLeft = true;
+}
+
+std::string EntryDuty::stateJson() const
+{
+    nlohmann::json state;
+    state["ready"] = m_isReady.load();
+    state["leaving"] = m_isLeaving;
+    state["config_version"] = m_routing ? m_routing->version() : 0;
+    state["caller_connections"] = m_callers.connections();
+    state["requests_under_way"] = m_exchanges.size();
+    state["target_connections"] = m_state.directory.openConnections();
+    const Clock::time_point now = Clock::now();
+    for (const auto &[id, handle] : m_state.directory.all())
+        state["targets"][id] = {{"service", handle->info.service},
+                                {"in_flight", handle->load.inFlight()},
+                                {"slowness", handle->load.slowness()},
+                                {"avoided", handle->load.isAvoided(now)},
+                                {"draining", handle->info.isDraining}};
+    for (const auto &[name, route] : m_state.routes)
+        state["routes"][name] = {
+            {"samples", route.partLatencies.samples()},
+            {"part_p50_us", route.partLatencies.quantile(0.5).count()},
+            {"part_p90_us", route.partLatencies.quantile(0.9).count()}};
+    return state.dump();
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/entryduty.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include <asio/basic_waitable_timer.hpp>
+
+#include "base/duty.h"
+#include "base/metrics.h"
+#include "duties/messages.h"
+#include "entry/entrysettings.h"
+#include "entry/entrystate.h"
+#include "entry/requestexchange.h"
+#include "entry/requestfilters.h"
+#include "entry/wireadapter.h"
+#include "http/callerlistener.h"
+
+namespace mangoshift {
+
+/// The duty that takes callers' requests and sends them to targets.
+///
+/// Callers, targets and the balancer's question for readiness are served on one event loop, as a
+/// request's way then needs no change of thread.
+class EntryDuty
+{
+public:
+    EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics);
+    ~EntryDuty();
+    EntryDuty(const EntryDuty &) = delete;
+    EntryDuty &operator=(const EntryDuty &) = delete;
+
+    /// Returns false, having logged why, where an address cannot be listened on.
+    bool start();
+    void stop();
+
+    // May be called from any thread.
+
+    void setRouting(RoutingTablePtr routing);
+    void applyTargets(std::vector<RegistryChange> changes);
+    /// The registry is known whole, so that requests can be taken.
+    void setListed();
+    /// Reports not ready from now on, answers what comes, and ends connections until `deadline`.
+    void startLeaving(Clock::time_point deadline);
+    /// Returns true once a leaving VM has nothing more to answer.
+    bool hasLeft() const { return m_hasLeft; }
+    bool isReady() const { return m_isReady; }
+    bool requestState(StateRequest request) { return m_duty.tryPost(std::move(request)); }
+
+private:
+    struct RoutingChanged
+    {
+        RoutingTablePtr routing;
+    };
+    struct TargetsChanged
+    {
+        std::vector<RegistryChange> changes;
+    };
+    struct Listed
+    {
+    };
+    struct Leave
+    {
+        Clock::time_point deadline;
+    };
+    using Message = std::variant<RoutingChanged, TargetsChanged, Listed, Leave, StateRequest>;
+
+    void post(Message message);
+    void handle(Message &message);
+    CallerEvents callerEvents();
+    CallerEvents readyEvents();
+    void onRequest(const CallerConnectionPtr &connection, HttpRequest http);
+    void onReadyRequest(const CallerConnectionPtr &connection, const HttpRequest &http);
+    void reject(const IncomingRequest &request, const Rejection &rejection);
+    void onFinished(const std::shared_ptr<RequestExchange> &exchange);
+    void updateReady();
+    void armSweep();
+    void sweep();
+    void sweepLeaving(Clock::time_point now);
+    std::string stateJson() const;
+
+    EntrySettings m_settings;
+    const WireAdapter &m_adapter;
+    Duty<Message> m_duty;
+    EntryState m_state;
+    RequestFilterChain m_filters;
+    CallerListener m_callers;
+    CallerListener m_balancer;
+    RoutingTablePtr m_routing;
+    bool m_hasListed = false;
+    bool m_isLeaving = false;
+    Clock::time_point m_leavingSince{};
+    Clock::time_point m_leaveDeadline{};
+    std::unordered_map<CallerConnectionPtr, std::shared_ptr<RequestExchange>> m_exchanges;
+    asio::basic_waitable_timer<Clock> m_sweepTimer;
+    std::atomic<bool> m_isReady{false};
+    std::atomic<bool> m_hasLeft{false};
+};
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/entrynode.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <memory>
+
+#include "base/metrics.h"
+#include "duties/reportduty.h"
+#include "entry/entryduty.h"
+#include "entry/entrysettings.h"
+#include "entry/registryduty.h"
+#include "entry/wireadapter.h"
+
+namespace mangoshift {
+
+/// One entry VM that follows a store: its duties, joined by rings.
+class EntryNode
+{
+public:
+    EntryNode(EntrySettings settings, WireAdapter adapter);
+    ~EntryNode();
+    EntryNode(const EntryNode &) = delete;
+    EntryNode &operator=(const EntryNode &) = delete;
+
+    /// Returns false, having logged why, where an address cannot be listened on.
+    bool start();
+    /// Stops gracefully: answers what is under way, within the patience of the settings.
+    void stop();
+
+private:
+    EntrySettings m_settings;
+    WireAdapter m_adapter;
+    Metrics m_metrics;
+    std::unique_ptr<EntryDuty> m_entry;
+    std::unique_ptr<RegistryDuty> m_registry;
+    std::unique_ptr<ReportDuty> m_report;
+    bool m_isStarted = false;
+};
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/entrysettings.cpp
@@ -0,0 +1,91 @@
+#include "entry/entrysettings.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "config/schema.h"
+
+namespace mangoshift {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+Address readAddress(const std::string &text, const std::string &path, Faults &faults)
+{
+    auto parsed = parseAddress(text);
+    if (parsed)
+        return std::move(*parsed);
+    faults.push_back({path, parsed.error()});
+    return {};
+}
+
+LogLevel readLevel(const std::string &name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+void readAddresses(const Json &json, EntrySettings &settings, Faults &faults)
+{
+    const auto read = [&](const char *key) {
+        return readAddress(json.at(key), std::string("/") + key, faults);
+    };
+    settings.callerAddress = read("caller_address");
+    settings.readyAddress = read("ready_address");
+    settings.operatorAddress = read("operator_address");
+    settings.storeAddress = read("store_address");
+    if (!json.value("peer_address", "").empty())
+        settings.peerAddress = read("peer_address");
+    if (!json.contains("seeds"))
+        return;
+    for (std::size_t i = 0; i < json.at("seeds").size(); ++i)
+        settings.seeds.push_back(
+            readAddress(json.at("seeds")[i], "/seeds/" + std::to_string(i), faults));
+}
+
+RetryBudgetTerms readBudget(const Json &json)
+{
+    RetryBudgetTerms terms;
+    terms.ratio = json.at("ratio");
+    terms.slack = json.at("slack");
+    terms.window = std::chrono::seconds(json.at("window_s").get<int>());
+    return terms;
+}
+
+} // namespace
+
+tl::expected<EntrySettings, Faults> parseEntrySettings(const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return tl::make_unexpected(Faults{{"", "must be a JSON object"}});
+    Faults faults = entrySchema().check(json);
+    if (!faults.empty())
+        return tl::make_unexpected(std::move(faults));
+    EntrySettings settings;
+    settings.vm = json.at("vm");
+    settings.failureDomain = json.at("failure_domain");
+    settings.region = json.at("region");
+    readAddresses(json, settings, faults);
+    settings.retryBudget = readBudget(json.at("retry_budget"));
+    settings.vmsAtMost = json.value("vms_at_most", settings.vmsAtMost);
+    settings.stopPatience =
+        milliseconds(json.value("stop_patience_ms", settings.stopPatience.count()));
+    settings.maxCallerConnections =
+        json.value("max_caller_connections", settings.maxCallerConnections);
+    settings.replyMargin =
+        milliseconds(json.value("reply_margin_ms", settings.replyMargin.count()));
+    settings.watchWait = milliseconds(json.value("watch_wait_ms", settings.watchWait.count()));
+    settings.logLevel = readLevel(json.value("log_level", "info"));
+    if (!faults.empty())
+        return tl::make_unexpected(std::move(faults));
+    return settings;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/entrysettings.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "base/address.h"
+#include "base/log.h"
+#include "config/fault.h"
+#include "mangoshift/retryshare.h"
+
+namespace mangoshift {
+
+/// What an entry VM that follows a store is told at its start.
+struct EntrySettings
+{
+    std::string vm;
+    std::string failureDomain;
+    std::string region;
+    /// Where callers connect.
+    Address callerAddress;
+    /// Where the balancer asks whether this VM takes requests.
+    Address readyAddress;
+    /// Where health, metrics and the state dump are served.
+    Address operatorAddress;
+    Address storeAddress;
+    /// Where other VMs ask for what this one knows, if anywhere.
+    std::optional<Address> peerAddress;
+    /// Peers that may know the configuration while the store is away.
+    std::vector<Address> seeds;
+    RetryBudgetTerms retryBudget;
+    /// How many VMs may be alive at once; each takes that part of what all share.
+    std::size_t vmsAtMost = 12;
+    /// The longest that a graceful stop may take.
+    std::chrono::milliseconds stopPatience{5000};
+    std::size_t maxCallerConnections = 2000;
+    /// How long before the latency target an answer leaves, for its way to the caller.
+    std::chrono::milliseconds replyMargin{10};
+    /// How long a watch of the store waits for a change.
+    std::chrono::milliseconds watchWait{2000};
+    LogLevel logLevel = LogLevel::Info;
+};
+
+/// Reads settings from JSON text. Checks the form by `schemas/entry.schema.json`, then the meaning;
+/// the error lists every fault of the first check that finds one.
+tl::expected<EntrySettings, Faults> parseEntrySettings(const std::string &text);
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/requestexchange.cpp
@@ -0,0 +1,440 @@
+#include "entry/requestexchange.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <utility>
+
+#include "base/duty.h"
+#include "base/log.h"
+#include "mangoshift/recordmerge.h"
+
+namespace mangoshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A part is hedged when it is later than this share of the route's recent parts.
+constexpr double HedgeQuantile = 0.9;
+/// How many latencies the quantile needs.
+constexpr std::uint32_t HedgeSamples = 30;
+/// Bounds of the hedge delay, as shares of the route's latency target: a second copy has to fit
+/// into the target, and one sent much earlier would mostly be sent in vain.
+constexpr double LeastHedgeShare = 0.08;
+constexpr double MostHedgeShare = 0.33;
+constexpr double MostForwardHedgeShare = 0.55;
+/// How long a target works on for a caller that has left. The users count work half a second after.
+constexpr milliseconds LeftPatience{250};
+/// How long the answer to a copy that was not needed is awaited before its connection counts as
+/// silent: several of the targets' pauses.
+constexpr milliseconds LeftoverPatience{1500};
+/// When to come back after targets have refused a request, or none was known.
+constexpr milliseconds RefusedRetryAfter{100};
+constexpr milliseconds NoReplicaRetryAfter{250};
+/// A target whose address now belongs to another answers with this status.
+constexpr int Misdirected = 421;
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+ForwardedRequestPtr forwardedRequest(const IncomingRequest &request,
+                                     const TargetHeaderNames &names)
+{
+    auto forwarded = std::make_shared<ForwardedRequest>();
+    const HttpRequest &http = request.http;
+    forwarded->id = request.id;
+    forwarded->head = http.method + " " + http.target + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : http.headers.entries())
+        if (!isHopByHop(name, http.headers) && !isSameHeader(name, names.timeLeft)
+            && !isSameHeader(name, names.expectedTarget))
+            forwarded->head += name + ": " + value + "\r\n";
+    forwarded->body = http.body;
+    forwarded->hasBody = !http.body.empty() || http.headers.contains("content-length")
+        || http.headers.contains("transfer-encoding");
+    forwarded->isHead = http.method == "HEAD";
+    forwarded->deadline = request.deadline;
+    return forwarded;
+}
+
+int statusOf(const Verdict &verdict)
+{
+    if (verdict.execution == Execution::NotRun)
+        return 503;
+    return verdict.reason == Reason::DeadlineExceeded ? 504 : 502;
+}
+
+std::string milliText(Clock::duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+Clock::duration shareOf(milliseconds whole, double share)
+{
+    return std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double, std::milli>(static_cast<double>(whole.count()) * share));
+}
+
+} // namespace
+
+HttpResponse failureResponse(int status, const Verdict &verdict)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.add("Content-Type", "application/json");
+    if (status == 503 && verdict.retryAfter.count() > 0) {
+        std::array<char, 32> seconds{};
+        std::snprintf(seconds.data(), seconds.size(), "%.3f",
+                      std::chrono::duration<double>(verdict.retryAfter).count());
+        response.headers.add("Retry-After", seconds.data());
+    }
+    response.body = "{\"execution\":\"" + std::string(toString(verdict.execution))
+        + "\",\"reason\":\"" + std::string(toString(verdict.reason)) + "\"}";
+    return response;
+}
+
+RequestExchange::RequestExchange(EntryState &state, IncomingRequest request, Finished finished)
+    : m_state(state)
+    , m_request(std::move(request))
+    , m_finished(std::move(finished))
+    , m_route(state.routes[m_request.route->name])
+    , m_forwarded(forwardedRequest(m_request, state.adapter.headers.target))
+    , m_timer(state.io)
+{
+    const Route &route = *m_request.route;
+    RequestTerms terms;
+    if (const FanOutTo *fanOut = this->fanOut()) {
+        for (const std::string &shard : fanOut->shards)
+            m_parts.push_back({shard, {}, false, {}, {}});
+        const double least = fanOut->leastCoverage * static_cast<double>(m_parts.size());
+        // The tolerance keeps a share such as 0.9 of 20 from being rounded up to 19.
+        terms.leastParts =
+            std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(least - 1e-9)));
+    } else {
+        const auto &services = std::get<ForwardTo>(route.destination).services;
+        m_parts.push_back({services[m_route.turns.next(services)].service, {}, false, {}, {}});
+    }
+    terms.parts = m_parts.size();
+    terms.maxAttempts = route.maxAttempts;
+    terms.isIdempotent = route.isIdempotent;
+    m_expectedLatency = m_route.partLatencies.quantile(0.5);
+    const double most = fanOut() != nullptr ? MostHedgeShare : MostForwardHedgeShare;
+    terms.hedgeDelay = shareOf(route.latencyTarget, most);
+    if (m_route.partLatencies.samples() >= HedgeSamples)
+        terms.hedgeDelay = std::clamp<Clock::duration>(
+            m_route.partLatencies.quantile(HedgeQuantile),
+            shareOf(route.latencyTarget, LeastHedgeShare), terms.hedgeDelay);
+    terms.deadline = m_request.deadline;
+    terms.replyBy = std::min(
+        terms.deadline, m_request.receivedAt + route.latencyTarget - state.settings.replyMargin);
+    m_machine.emplace(terms);
+}
+
+void RequestExchange::start()
+{
+    const Clock::time_point now = Clock::now();
+    for (const Part &part : m_parts)
+        m_state.retryShare(part.service).onFirst(now);
+    perform(m_machine->start(now));
+}
+
+void RequestExchange::perform(RequestActions actions)
+{
+    const Clock::time_point now = Clock::now();
+    std::deque<RequestAction> queue(actions.begin(), actions.end());
+    while (!queue.empty() && !m_isFinished) {
+        const RequestAction action = queue.front();
+        queue.pop_front();
+        std::visit(Overloaded{[&](const SendPart &send) {
+                                  for (RequestAction &next : sendPart(send, now))
+                                      queue.push_back(next);
+                              },
+                              [this](const GiveAnswer &) { giveAnswer(); },
+                              [this](const GiveFailure &failure) {
+                                  giveFailure(failure.verdict);
+                              }},
+                   action);
+    }
+    if (!m_isFinished)
+        armTimer();
+}
+
+bool RequestExchange::takeExtra(const Part &part, Clock::time_point now)
+{
+    return !part.mayHaveArrived || m_state.retryShare(part.service).trySpend(now);
+}
+
+RequestActions RequestExchange::sendPart(const SendPart &action, Clock::time_point now)
+{
+    Part &part = m_parts[action.part];
+    if (action.cause == SendCause::Hedge)
+        markOverdue(part, now);
+    std::vector<TargetHandlePtr> tried;
+    for (const Copy &copy : part.copies)
+        tried.push_back(copy.target);
+    const TargetHandlePtr target = m_state.directory.pick(part.service, tried, now);
+    const bool isAllowed = target && takeExtra(part, now);
+    if (target && !isAllowed)
+        ++m_denied;
+    std::optional<CallNumber> call;
+    if (isAllowed) {
+        call = target->channels.call(
+            m_forwarded,
+            [target, expected = m_expectedLatency, weak = weak_from_this(),
+             index = action.part](TargetReply reply) {
+                onCallEnded(target, expected, reply);
+                if (const auto self = weak.lock())
+                    self->onReply(index, target, std::move(reply));
+            });
+    }
+    if (!call) {
+        if (action.cause == SendCause::Hedge) {
+            m_machine->onHedgeDropped(action.part);
+            return {};
+        }
+        const Reason reason = target ? Reason::Overloaded : Reason::NoReplica;
+        const milliseconds retryAfter = target ? RefusedRetryAfter : NoReplicaRetryAfter;
+        return m_machine->onFailed(action.part, {Execution::NotRun, reason, retryAfter}, now);
+    }
+    target->load.onSent();
+    part.copies.push_back({target, *call, true});
+    part.mayHaveArrived = true;
+    if (action.cause == SendCause::Hedge)
+        ++m_hedges;
+    else if (action.cause == SendCause::Retry)
+        ++m_retries;
+    return {};
+}
+
+void RequestExchange::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
+                                  const TargetReply &reply)
+{
+    const Clock::time_point now = Clock::now();
+    switch (reply.end) {
+    case TargetReply::End::Answered:
+        if (reply.response.status == 503 || reply.response.status == 429)
+            target->load.onRefused(now);
+        else if (reply.response.status == Misdirected)
+            target->load.onLost(now);
+        else
+            target->load.onAnswered(now - reply.sentAt, expected, now);
+        break;
+    case TargetReply::End::Malformed:
+        target->load.onAnswered(Clock::duration::zero(), Clock::duration::zero(), now);
+        break;
+    case TargetReply::End::NotConnected:
+    case TargetReply::End::Lost:
+    case TargetReply::End::Abandoned:
+        target->load.onLost(now);
+        break;
+    }
+}
+
+std::optional<Verdict> RequestExchange::judge(const TargetReply &reply) const
+{
+    switch (reply.end) {
+    case TargetReply::End::NotConnected:
+        return Verdict{Execution::NotRun, Reason::Lost, RefusedRetryAfter};
+    case TargetReply::End::Lost:
+    case TargetReply::End::Abandoned:
+        return Verdict{Execution::MayHaveRun, Reason::Lost};
+    case TargetReply::End::Malformed:
+        return Verdict{Execution::MayHaveRun, Reason::BadReply};
+    case TargetReply::End::Answered:
+        break;
+    }
+    const HttpResponse &response = reply.response;
+    const EntryHeaderNames &names = m_state.adapter.headers;
+    if (response.status == Misdirected || response.headers.contains(names.notRun))
+        return Verdict{Execution::NotRun, Reason::Refused, RefusedRetryAfter};
+    if (response.headers.contains("content-encoding"))
+        return Verdict{Execution::MayHaveRun, Reason::BadReply};
+    if (isSuccess(response.status)) {
+        if (response.headers.contains(names.receipt))
+            return std::nullopt;
+        return Verdict{Execution::MayHaveRun, Reason::BadReply};
+    }
+    // These statuses promise the caller that nothing ran, which this target has not said.
+    const bool isUnprovenPromise = response.status == 503 || response.status == 429
+        || response.status == 408;
+    if (fanOut() != nullptr || response.status >= 500 || isUnprovenPromise)
+        return Verdict{Execution::Ran, Reason::Failed};
+    return std::nullopt;
+}
+
+void RequestExchange::onReply(std::size_t part, const TargetHandlePtr &target, TargetReply reply)
+{
+    Part &state = m_parts[part];
+    for (Copy &copy : state.copies)
+        if (copy.target == target)
+            copy.isOpen = false;
+    if (m_isFinished)
+        return;
+    const Clock::time_point now = Clock::now();
+    const auto verdict = judge(reply);
+    if (verdict) {
+        if (reply.end == TargetReply::End::NotConnected && state.copies.size() == 1)
+            state.mayHaveArrived = false;
+        if (reply.end == TargetReply::End::Answered && verdict->execution == Execution::Ran
+            && reply.response.status != 503 && reply.response.status != 429
+            && reply.response.status != 408)
+            m_response = std::move(reply.response);
+        perform(m_machine->onFailed(part, *verdict, now));
+        return;
+    }
+    m_route.partLatencies.record(
+        std::chrono::duration_cast<std::chrono::microseconds>(now - reply.sentAt));
+    if (state.receipt.empty()) {
+        state.receipt = reply.response.headers.value(m_state.adapter.headers.receipt);
+        if (fanOut() != nullptr)
+            state.body = std::move(reply.response.body);
+        else
+            m_response = std::move(reply.response);
+    }
+    perform(m_machine->onAnswered(part, now));
+}
+
+void RequestExchange::markOverdue(const Part &part, Clock::time_point now)
+{
+    for (const Copy &copy : part.copies)
+        if (copy.isOpen)
+            copy.target->load.onOverdue(now);
+}
+
+HttpResponse RequestExchange::mergedAnswer() const
+{
+    const EntryHeaderNames &names = m_state.adapter.headers;
+    std::vector<std::string_view> bodies;
+    std::string receipts;
+    for (const Part &part : m_parts) {
+        if (part.receipt.empty())
+            continue;
+        bodies.push_back(part.body);
+        receipts += (receipts.empty() ? "" : ", ") + part.receipt;
+    }
+    HttpResponse response;
+    response.status = 200;
+    response.headers.add(names.target.requestId, m_request.id);
+    response.headers.add(names.partReceipts, receipts);
+    response.headers.add(names.missingParts, std::to_string(m_parts.size() - bodies.size()));
+    response.body = greatestRecords(bodies, fanOut()->records);
+    return response;
+}
+
+HttpResponse RequestExchange::forwardedAnswer() const
+{
+    HttpResponse response;
+    response.status = m_response->status;
+    response.body = m_response->body;
+    for (const auto &[name, value] : m_response->headers.entries())
+        if (!isHopByHop(name, m_response->headers))
+            response.headers.add(name, value);
+    return response;
+}
+
+void RequestExchange::giveAnswer()
+{
+    const bool isPartial = m_machine->answeredParts() < m_parts.size();
+    HttpResponse response = fanOut() != nullptr ? mergedAnswer() : forwardedAnswer();
+    report(response.status, isPartial ? "partial" : "complete", {Execution::Ran, Reason::Ok});
+    m_request.connection->respond(std::move(response));
+    finish(LeftoverPatience);
+}
+
+void RequestExchange::giveFailure(const Verdict &verdict)
+{
+    if (fanOut() == nullptr && m_response && verdict.execution == Execution::Ran) {
+        report(m_response->status, "target_failure", verdict);
+        m_request.connection->respond(forwardedAnswer());
+    } else {
+        const int status = statusOf(verdict);
+        report(status, verdict.execution == Execution::NotRun ? "refused" : "error", verdict);
+        m_request.connection->respond(failureResponse(status, verdict));
+    }
+    finish(LeftPatience);
+}
+
+void RequestExchange::onCallerLeft()
+{
+    if (m_isFinished)
+        return;
+    report(0, "caller_left", {Execution::MayHaveRun, Reason::Cancelled});
+    finish(LeftPatience);
+}
+
+void RequestExchange::giveUp(Reason reason)
+{
+    if (m_isFinished)
+        return;
+    const bool hasSent = std::any_of(m_parts.begin(), m_parts.end(),
+                                     [](const Part &part) { return part.mayHaveArrived; });
+    giveFailure({hasSent ? Execution::MayHaveRun : Execution::NotRun, reason});
+}
+
+void RequestExchange::finish(milliseconds patience)
+{
+    m_isFinished = true;
+    m_timer.cancel();
+    for (Part &part : m_parts)
+        for (Copy &copy : part.copies)
+            if (copy.isOpen && copy.target->channels.abandon(copy.call, patience))
+                copy.target->load.onGivenUp();
+    m_finished(shared_from_this());
+}
+
+void RequestExchange::armTimer()
+{
+    const Clock::time_point next = m_machine->nextEvent();
+    if (m_timer.expiry() == next)
+        return;
+    m_timer.expires_at(next);
+    m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_isFinished)
+            return;
+        self->perform(self->m_machine->onTime(Clock::now()));
+    });
+}
+
+void RequestExchange::report(int status, const char *outcome, const Verdict &verdict) const
+{
+    const Clock::duration took = Clock::now() - m_request.receivedAt;
+    const Route &route = *m_request.route;
+    m_state.metrics.entryRequests
+        .Add({{"route", route.name},
+              {"outcome", outcome},
+              {"reason", std::string(toString(verdict.reason))}})
+        .Increment();
+    m_state.metrics.entrySeconds.Add({{"route", route.name}}, latencyBuckets())
+        .Observe(std::chrono::duration<double>(took).count());
+    const bool isLate = took > route.latencyTarget;
+    if (verdict.isOk() && !isLate && m_machine->answeredParts() == m_parts.size())
+        return;
+    std::string missing;
+    for (const Part &part : m_parts)
+        if (part.receipt.empty()) {
+            missing += (missing.empty() ? "" : ",") + part.service + "@";
+            for (const Copy &copy : part.copies)
+                missing += copy.target->info.id + (copy.isOpen ? "+" : "-");
+        }
+    logEvent(LogLevel::Info, "request_ended",
+             {{"request", m_request.id},
+              {"route", route.name},
+              {"config_version", std::to_string(m_request.routing->version())},
+              {"outcome", outcome},
+              {"status", std::to_string(status)},
+              {"execution", std::string(toString(verdict.execution))},
+              {"reason", std::string(toString(verdict.reason))},
+              {"took_ms", milliText(took)},
+              {"parts", std::to_string(m_machine->answeredParts()) + "/"
+                   + std::to_string(m_parts.size())},
+              {"hedges", std::to_string(m_hedges)},
+              {"retries", std::to_string(m_retries)},
+              {"denied", std::to_string(m_denied)},
+              {"missing", missing}});
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/requestexchange.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <asio/basic_waitable_timer.hpp>
+
+#include "entry/entrystate.h"
+#include "entry/incomingrequest.h"
+#include "mangoshift/requestmachine.h"
+
+namespace mangoshift {
+
+/// One caller's request from the filters to its final answer.
+///
+/// Performs the actions of a `RequestMachine`: picks targets, sends, judges what comes back, merges
+/// and answers. Lives until the answer is given or the caller has left; calls that are under way
+/// then end by themselves. Belongs to the entry duty's thread.
+class RequestExchange : public std::enable_shared_from_this<RequestExchange>
+{
+public:
+    using Finished = std::function<void(const std::shared_ptr<RequestExchange> &)>;
+
+    RequestExchange(EntryState &state, IncomingRequest request, Finished finished);
+
+    void start();
+    /// Takes in that the caller has left: nothing more is sent, and targets are told soon.
+    void onCallerLeft();
+    /// Gives the final answer now, whatever is missing.
+    void giveUp(Reason reason);
+
+    const IncomingRequest &request() const { return m_request; }
+
+private:
+    struct Copy
+    {
+        TargetHandlePtr target;
+        CallNumber call = 0;
+        bool isOpen = true;
+    };
+
+    struct Part
+    {
+        std::string service;
+        std::vector<Copy> copies;
+        /// Whether any copy has reached, or may still reach, a target.
+        bool mayHaveArrived = false;
+        std::string receipt;
+        std::string body;
+    };
+
+    void perform(RequestActions actions);
+    RequestActions sendPart(const SendPart &action, Clock::time_point now);
+    bool takeExtra(const Part &part, Clock::time_point now);
+    static void onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
+                            const TargetReply &reply);
+    void onReply(std::size_t part, const TargetHandlePtr &target, TargetReply reply);
+    /// Returns no value where the reply answers the part.
+    std::optional<Verdict> judge(const TargetReply &reply) const;
+    void markOverdue(const Part &part, Clock::time_point now);
+    void giveAnswer();
+    HttpResponse mergedAnswer() const;
+    HttpResponse forwardedAnswer() const;
+    void giveFailure(const Verdict &verdict);
+    void finish(std::chrono::milliseconds patience);
+    void armTimer();
+    void report(int status, const char *outcome, const Verdict &verdict) const;
+    const FanOutTo *fanOut() const { return std::get_if<FanOutTo>(&m_request.route->destination); }
+
+    EntryState &m_state;
+    IncomingRequest m_request;
+    Finished m_finished;
+    RouteState &m_route;
+    Clock::duration m_expectedLatency{};
+    ForwardedRequestPtr m_forwarded;
+    std::vector<Part> m_parts;
+    std::optional<RequestMachine> m_machine;
+    /// The last answer of a target that may be passed on as it is.
+    std::optional<HttpResponse> m_response;
+    asio::basic_waitable_timer<Clock> m_timer;
+    std::size_t m_hedges = 0;
+    std::size_t m_retries = 0;
+    std::size_t m_denied = 0;
+    bool m_isFinished = false;
+};
+
+/// Returns the answer of a request that no target has answered.
+HttpResponse failureResponse(int status, const Verdict &verdict);
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/storeconnection.cpp
@@ -0,0 +1,172 @@
+#include "entry/storeconnection.h"
+
+#include <array>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include "http/socketoptions.h"
+
+namespace mangoshift {
+
+namespace {
+
+using asio::ip::tcp;
+
+/// A page of the store holds up to 1 MB of values, a third more in base64.
+constexpr HttpSizeLimits StoreLimits{64U << 10U, 8U << 20U};
+constexpr std::size_t ReadBytes = 64U << 10U;
+
+} // namespace
+
+/// One connection and the request on it; asynchronous operations keep it alive.
+struct StoreConnection::Link : std::enable_shared_from_this<Link>
+{
+    explicit Link(asio::io_context &io)
+        : socket(io)
+        , timer(io)
+        , parser(HttpParser::Side::Responses, StoreLimits)
+    {
+    }
+
+    void connect(const tcp::endpoint &endpoint)
+    {
+        socket.async_connect(endpoint, [self = shared_from_this()](const asio::error_code &error) {
+            if (self->isClosed)
+                return;
+            if (error) {
+                self->fail(error.message());
+                return;
+            }
+            self->isConnected = true;
+            prepareSocket(self->socket);
+            self->write();
+            self->read();
+        });
+    }
+
+    void start(std::string request, std::chrono::milliseconds timeout, Done handler)
+    {
+        outgoing = std::move(request);
+        done = std::move(handler);
+        timer.expires_after(timeout);
+        timer.async_wait([self = shared_from_this(), at = timer.expiry()](
+                             const asio::error_code &error) {
+            if (!error && !self->isClosed && self->done && self->timer.expiry() == at)
+                self->fail("timeout");
+        });
+    }
+
+    void write()
+    {
+        asio::async_write(socket, asio::buffer(outgoing),
+                          [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                              if (error && !self->isClosed)
+                                  self->fail(error.message());
+                          });
+    }
+
+    void read()
+    {
+        socket.async_wait(tcp::socket::wait_read,
+                          [self = shared_from_this()](const asio::error_code &error) {
+                              if (self->isClosed)
+                                  return;
+                              if (error)
+                                  self->fail(error.message());
+                              else
+                                  self->readBytes();
+                          });
+    }
+
+    void readBytes()
+    {
+        static thread_local std::array<char, ReadBytes> buffer;
+        asio::error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+        if (error && error != asio::error::would_block) {
+            fail(error.message());
+            return;
+        }
+        const std::size_t taken = parser.feed(buffer.data(), size);
+        if (parser.fault() != HttpFault::None || taken < size || (size > 0 && !done)) {
+            fail("malformed answer");
+            return;
+        }
+        if (parser.isComplete())
+            finish(parser.takeResponse());
+        if (!isClosed)
+            read();
+    }
+
+    void finish(HttpResponse response)
+    {
+        timer.cancel();
+        if (!response.keepAlive)
+            close();
+        const Done handler = std::exchange(done, nullptr);
+        handler(std::move(response));
+    }
+
+    void fail(const std::string &why)
+    {
+        close();
+        if (const Done handler = std::exchange(done, nullptr))
+            handler(tl::make_unexpected(why));
+    }
+
+    void close()
+    {
+        isClosed = true;
+        timer.cancel();
+        asio::error_code ignored;
+        socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    asio::basic_waitable_timer<Clock> timer;
+    HttpParser parser;
+    std::string outgoing;
+    Done done;
+    bool isConnected = false;
+    bool isClosed = false;
+};
+
+StoreConnection::StoreConnection(asio::io_context &io, Address address)
+    : m_address(std::move(address))
+    , m_io(io)
+{
+}
+
+StoreConnection::~StoreConnection()
+{
+    if (m_link) {
+        m_link->done = nullptr;
+        m_link->close();
+    }
+}
+
+void StoreConnection::get(const std::string &target, std::chrono::milliseconds timeout, Done done)
+{
+    const std::string request =
+        "GET " + target + " HTTP/1.1\r\nHost: " + m_address.toString() + "\r\n\r\n";
+    if (m_link && !m_link->isClosed) {
+        m_link->start(request, timeout, std::move(done));
+        m_link->write();
+        return;
+    }
+    asio::error_code error;
+    const auto ip = asio::ip::make_address(m_address.ip, error);
+    if (error) {
+        asio::post(m_io, [done = std::move(done)] { done(tl::make_unexpected("bad address")); });
+        return;
+    }
+    m_link = std::make_shared<Link>(m_io);
+    m_link->start(request, timeout, std::move(done));
+    m_link->connect(tcp::endpoint(ip, m_address.port));
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/targetdirectory.cpp
@@ -0,0 +1,157 @@
+#include "entry/targetdirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/address.h"
+#include "base/log.h"
+
+namespace mangoshift {
+
+namespace {
+
+/// How long a leaving target may still be picked where its service has no other. Targets serve for
+/// at least their drain time, 3 s on the users' deployments, after they have announced it.
+constexpr std::chrono::milliseconds LastResortTime{1000};
+/// One connection more than the target has slots, so that one that is stuck takes no slot away.
+constexpr std::size_t SpareConnections = 1;
+
+} // namespace
+
+TargetDirectory::TargetDirectory(asio::io_context &io, const TargetHeaderNames &names,
+                                 std::size_t vmsAtMost)
+    : m_io(io)
+    , m_names(names)
+    , m_vmsAtMost(vmsAtMost)
+    , m_random(std::random_device{}())
+{
+}
+
+void TargetDirectory::apply(const std::vector<RegistryChange> &changes, Clock::time_point now)
+{
+    for (const RegistryChange &change : changes) {
+        if (const auto *listed = std::get_if<TargetListed>(&change))
+            list(listed->target, now);
+        else
+            delist(std::get<TargetDelisted>(change).id);
+    }
+}
+
+void TargetDirectory::list(const RegisteredTarget &target, Clock::time_point now)
+{
+    const auto known = m_byId.find(target.id);
+    if (known != m_byId.end()) {
+        TargetHandle &handle = *known->second;
+        const bool isSame = handle.info.address == target.address
+            && handle.info.startedAt == target.startedAt && handle.info.service == target.service;
+        if (isSame) {
+            if (target.isDraining && !handle.info.isDraining) {
+                handle.drainingSince = now;
+                logEvent(LogLevel::Info, "target_draining",
+                         {{"target", target.id}, {"service", target.service}});
+            }
+            handle.info = target;
+            return;
+        }
+        delist(target.id);
+    }
+    const auto address = parseAddress(target.address);
+    if (!address) {
+        logEvent(LogLevel::Warning, "target_rejected",
+                 {{"target", target.id}, {"field", "address"}, {"why", address.error()}});
+        return;
+    }
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
+    ChannelOptions options;
+    options.maxConnections = connectionLimit(target);
+    auto handle = std::make_shared<TargetHandle>(m_io, target, endpoint, m_names, options, m_counts);
+    handle->load.setWarmUntil(now + target.warmupLeft);
+    if (target.isDraining)
+        handle->drainingSince = now;
+    m_byService[target.service].push_back(handle);
+    m_byId.emplace(target.id, std::move(handle));
+    logEvent(LogLevel::Info, "target_listed",
+             {{"target", target.id},
+              {"service", target.service},
+              {"address", target.address},
+              {"failure_domain", target.failureDomain}});
+}
+
+void TargetDirectory::delist(const TargetId &id)
+{
+    const auto known = m_byId.find(id);
+    if (known == m_byId.end())
+        return;
+    const TargetHandlePtr handle = known->second;
+    m_byId.erase(known);
+    auto &service = m_byService[handle->info.service];
+    std::erase(service, handle);
+    if (service.empty())
+        m_byService.erase(handle->info.service);
+    handle->channels.retire();
+    m_leaving.push_back(handle);
+    logEvent(LogLevel::Info, "target_delisted",
+             {{"target", id}, {"service", handle->info.service}});
+}
+
+std::size_t TargetDirectory::connectionLimit(const RegisteredTarget &target) const
+{
+    const std::size_t all =
+        m_routing ? m_routing->serviceOf(target.service).maxConnections : m_vmsAtMost;
+    return std::clamp<std::size_t>(all / m_vmsAtMost, 1, target.slots + SpareConnections);
+}
+
+void TargetDirectory::setRouting(RoutingTablePtr routing)
+{
+    m_routing = std::move(routing);
+    for (const auto &[id, handle] : m_byId)
+        handle->channels.setMaxConnections(connectionLimit(handle->info));
+}
+
+TargetHandlePtr TargetDirectory::pick(const std::string &service,
+                                      const std::vector<TargetHandlePtr> &tried,
+                                      Clock::time_point now)
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return nullptr;
+    std::vector<TargetHandlePtr> handles;
+    std::vector<TargetHandlePtr> leaving;
+    for (const TargetHandlePtr &handle : it->second) {
+        if (std::find(tried.begin(), tried.end(), handle) != tried.end())
+            continue;
+        if (!handle->info.isDraining)
+            handles.push_back(handle);
+        else if (now - handle->drainingSince < LastResortTime)
+            leaving.push_back(handle);
+    }
+    if (handles.empty())
+        handles.swap(leaving);
+    std::vector<const TargetLoad *> loads;
+    loads.reserve(handles.size());
+    for (const TargetHandlePtr &handle : handles)
+        loads.push_back(&handle->load);
+    std::uniform_real_distribution<double> draw(0.0, 1.0);
+    const auto picked = pickTarget(loads, now, draw(m_random));
+    return picked ? handles[*picked] : nullptr;
+}
+
+void TargetDirectory::sweep(Clock::time_point now)
+{
+    for (const auto &[id, handle] : m_byId)
+        handle->channels.sweep(now);
+    for (const TargetHandlePtr &handle : m_leaving)
+        handle->channels.sweep(now);
+    std::erase_if(m_leaving,
+                  [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
+}
+
+std::size_t TargetDirectory::openConnections() const
+{
+    std::size_t open = 0;
+    for (const auto &[id, handle] : m_byId)
+        open += handle->channels.openConnections();
+    return open;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/http/callerlistener.cpp
@@ -0,0 +1,114 @@
+#include "http/callerlistener.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <asio/ip/address.hpp>
+
+#include "base/log.h"
+
+namespace mangoshift {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr int Backlog = 1024;
+
+} // namespace
+
+CallerListener::CallerListener(asio::io_context &io, std::size_t maxConnections,
+                               CallerEvents events)
+    : m_acceptor(io)
+    , m_maxConnections(maxConnections)
+    , m_events(std::move(events))
+{
+    m_events.onClosed = [this](const CallerConnectionPtr &connection) {
+        m_connections.erase(connection);
+    };
+}
+
+CallerListener::~CallerListener()
+{
+    const std::vector<CallerConnectionPtr> all(m_connections.begin(), m_connections.end());
+    for (const CallerConnectionPtr &connection : all)
+        connection->close();
+}
+
+bool CallerListener::listen(const Address &address)
+{
+    asio::error_code error;
+    const auto ip = asio::ip::make_address(address.ip, error);
+    if (error)
+        return false;
+    const tcp::endpoint endpoint(ip, address.port);
+    m_acceptor.open(endpoint.protocol(), error);
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_acceptor.bind(endpoint, error);
+    if (error)
+        return false;
+    m_acceptor.listen(Backlog, error);
+    if (error)
+        return false;
+    accept();
+    return true;
+}
+
+void CallerListener::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (error) {
+            logEvent(LogLevel::Warning, "accept_failed", {{"why", error.message()}});
+        } else if (m_connections.size() >= m_maxConnections) {
+            logEvent(LogLevel::Warning, "connection_rejected",
+                     {{"connections", std::to_string(m_connections.size())}});
+        } else {
+            const auto connection =
+                std::make_shared<CallerConnection>(std::move(socket), m_events, m_limits);
+            if (m_isClosingAfterAnswers)
+                connection->closeAfterAnswer();
+            m_connections.insert(connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void CallerListener::stopAccepting()
+{
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+void CallerListener::sweep(Clock::time_point now)
+{
+    const std::vector<CallerConnectionPtr> all(m_connections.begin(), m_connections.end());
+    for (const CallerConnectionPtr &connection : all)
+        connection->sweep(now, m_limits);
+}
+
+void CallerListener::closeAfterAnswers()
+{
+    m_isClosingAfterAnswers = true;
+    for (const CallerConnectionPtr &connection : m_connections)
+        connection->closeAfterAnswer();
+}
+
+void CallerListener::closeIdle()
+{
+    const std::vector<CallerConnectionPtr> all(m_connections.begin(), m_connections.end());
+    for (const CallerConnectionPtr &connection : all)
+        connection->closeIfIdle();
+}
+
+std::size_t CallerListener::busyConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const CallerConnectionPtr &c) { return c->isBusy(); }));
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/http/callerlistener.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstddef>
+#include <unordered_set>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include "base/address.h"
+#include "http/callerconnection.h"
+
+namespace mangoshift {
+
+/// Accepts connections on one address and keeps them. Belongs to one thread.
+class CallerListener
+{
+public:
+    /// Further connections than `maxConnections` are closed as they come.
+    CallerListener(asio::io_context &io, std::size_t maxConnections, CallerEvents events);
+    ~CallerListener();
+    CallerListener(const CallerListener &) = delete;
+    CallerListener &operator=(const CallerListener &) = delete;
+
+    /// Returns false where the address cannot be listened on.
+    bool listen(const Address &address);
+    void stopAccepting();
+    void setLimits(const CallerLimits &limits) { m_limits = limits; }
+    /// To be called several times a second.
+    void sweep(Clock::time_point now);
+    /// From now on each answer is its connection's last.
+    void closeAfterAnswers();
+    /// Closes the connections on which no request has begun.
+    void closeIdle();
+
+    std::size_t connections() const { return m_connections.size(); }
+    /// Returns how many requests are being worked on.
+    std::size_t busyConnections() const;
+
+private:
+    void accept();
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::size_t m_maxConnections;
+    CallerEvents m_events;
+    CallerLimits m_limits;
+    bool m_isClosingAfterAnswers = false;
+    std::unordered_set<CallerConnectionPtr> m_connections;
+};
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/http/httpparser.cpp
@@ -0,0 +1,188 @@
+#include "http/httpparser.h"
+
+#include <utility>
+
+namespace mangoshift {
+
+namespace {
+
+HttpParser *parserOf(http_parser *parser)
+{
+    return static_cast<HttpParser *>(parser->data);
+}
+
+} // namespace
+
+HttpParser::HttpParser(Side side, HttpSizeLimits limits)
+    : m_side(side)
+    , m_limits(limits)
+{
+    http_parser_init(&m_parser, side == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+}
+
+std::size_t HttpParser::feed(const char *bytes, std::size_t size)
+{
+    if (m_fault != HttpFault::None || m_isComplete)
+        return 0;
+    m_hasBegun = m_hasBegun || size > 0;
+    const std::size_t taken = http_parser_execute(&m_parser, &callbacks(), bytes, size);
+    const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error == HPE_PAUSED)
+        return taken;
+    if (m_fault == HttpFault::None && (error != HPE_OK || m_parser.upgrade != 0))
+        m_fault = error == HPE_HEADER_OVERFLOW ? HttpFault::HeadersTooLarge : HttpFault::Malformed;
+    return taken;
+}
+
+void HttpParser::finish()
+{
+    if (m_fault == HttpFault::None && !m_isComplete)
+        http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
+}
+
+bool HttpParser::expectsContinue() const
+{
+    return m_hasHeaders && !m_isComplete && isSameHeader(m_headers.value("expect"), "100-continue");
+}
+
+HttpRequest HttpParser::takeRequest()
+{
+    HttpRequest request;
+    request.method = http_method_str(static_cast<http_method>(m_parser.method));
+    request.target = std::move(m_target);
+    request.headers = std::move(m_headers);
+    request.body = std::move(m_body);
+    request.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    beginNext();
+    return request;
+}
+
+HttpResponse HttpParser::takeResponse()
+{
+    HttpResponse response;
+    response.status = static_cast<int>(m_parser.status_code);
+    response.headers = std::move(m_headers);
+    response.body = std::move(m_body);
+    response.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    beginNext();
+    return response;
+}
+
+void HttpParser::beginNext()
+{
+    m_hasBegun = false;
+    m_hasHeaders = false;
+    m_isComplete = false;
+    m_isInValue = false;
+    m_headerBytes = 0;
+    m_target.clear();
+    m_headers = {};
+    m_body.clear();
+    http_parser_init(&m_parser, m_side == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+}
+
+bool HttpParser::addHeaderBytes(std::size_t size)
+{
+    m_headerBytes += size;
+    if (m_headerBytes <= m_limits.headers)
+        return true;
+    m_fault = HttpFault::HeadersTooLarge;
+    return false;
+}
+
+int HttpParser::onUrl(http_parser *parser, const char *at, std::size_t size)
+{
+    HttpParser &self = *parserOf(parser);
+    if (!self.addHeaderBytes(size))
+        return 1;
+    self.m_target.append(at, size);
+    return 0;
+}
+
+int HttpParser::onField(http_parser *parser, const char *at, std::size_t size)
+{
+    HttpParser &self = *parserOf(parser);
+    // Trailers behind a chunked body are not passed on.
+    if (self.m_hasHeaders)
+        return 0;
+    if (!self.addHeaderBytes(size))
+        return 1;
+    if (std::exchange(self.m_isInValue, false) || self.m_headers.entries().empty())
+        self.m_headers.add({}, {});
+    self.m_headers.entries().back().first.append(at, size);
+    return 0;
+}
+
+int HttpParser::onValue(http_parser *parser, const char *at, std::size_t size)
+{
+    HttpParser &self = *parserOf(parser);
+    if (self.m_hasHeaders)
+        return 0;
+    if (!self.addHeaderBytes(size))
+        return 1;
+    self.m_isInValue = true;
+    self.m_headers.entries().back().second.append(at, size);
+    return 0;
+}
+
+int HttpParser::onHeadersComplete(http_parser *parser)
+{
+    HttpParser &self = *parserOf(parser);
+    self.m_hasHeaders = true;
+    if (parser->type == HTTP_REQUEST && self.m_headers.count("host") > 1) {
+        self.m_fault = HttpFault::Malformed;
+        return -1;
+    }
+    if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > self.m_limits.body
+        && !self.m_isHead) {
+        self.m_fault = HttpFault::BodyTooLarge;
+        return -1;
+    }
+    return parser->type == HTTP_RESPONSE && self.m_isHead ? 1 : 0;
+}
+
+int HttpParser::onBody(http_parser *parser, const char *at, std::size_t size)
+{
+    HttpParser &self = *parserOf(parser);
+    if (self.m_body.size() + size > self.m_limits.body) {
+        self.m_fault = HttpFault::BodyTooLarge;
+        return 1;
+    }
+    self.m_body.append(at, size);
+    return 0;
+}
+
+int HttpParser::onComplete(http_parser *parser)
+{
+    HttpParser &self = *parserOf(parser);
+    // An interim response comes before the one that is waited for.
+    if (parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1) {
+        self.m_headers = {};
+        self.m_hasHeaders = false;
+        self.m_isInValue = false;
+        return 0;
+    }
+    self.m_isComplete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+const http_parser_settings &HttpParser::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings all{};
+        http_parser_settings_init(&all);
+        all.on_url = &HttpParser::onUrl;
+        all.on_header_field = &HttpParser::onField;
+        all.on_header_value = &HttpParser::onValue;
+        all.on_headers_complete = &HttpParser::onHeadersComplete;
+        all.on_body = &HttpParser::onBody;
+        all.on_message_complete = &HttpParser::onComplete;
+        return all;
+    }();
+    return settings;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/http/targetchannels.cpp
@@ -0,0 +1,143 @@
+#include "http/targetchannels.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include "http/targetchannel.h"
+
+namespace mangoshift {
+
+TargetChannels::TargetChannels(asio::io_context &io, asio::ip::tcp::endpoint endpoint,
+                               std::string targetId, const TargetHeaderNames &names,
+                               ChannelOptions options, ChannelCounts &counts)
+    : m_io(io)
+    , m_endpoint(std::move(endpoint))
+    , m_targetId(std::move(targetId))
+    , m_names(names)
+    , m_options(options)
+    , m_counts(counts)
+{
+}
+
+TargetChannels::~TargetChannels()
+{
+    for (const ChannelPtr &channel : std::exchange(m_channels, {}))
+        channel->detach();
+}
+
+std::optional<CallNumber> TargetChannels::call(ForwardedRequestPtr request, Done done)
+{
+    const CallNumber number = ++m_lastCall;
+    if (const ChannelPtr channel = takeIdle(Clock::now())) {
+        channel->send(number, std::move(request), std::move(done));
+        return number;
+    }
+    if (m_waiting.size() >= m_options.maxWaiting)
+        return std::nullopt;
+    m_waiting.push_back({number, std::move(request), std::move(done)});
+    if (m_connecting < m_waiting.size() && m_channels.size() < m_options.maxConnections)
+        open();
+    return number;
+}
+
+TargetChannels::ChannelPtr TargetChannels::takeIdle(Clock::time_point now)
+{
+    while (!m_idle.empty()) {
+        const ChannelPtr channel = m_idle.back();
+        m_idle.pop_back();
+        if (!channel->isStale(now))
+            return channel;
+        channel->close();
+    }
+    return nullptr;
+}
+
+void TargetChannels::open()
+{
+    ++m_connecting;
+    ++m_counts.opened;
+    m_channels.push_back(std::make_shared<TargetChannel>(m_io, *this));
+    m_channels.back()->connect(m_endpoint);
+}
+
+void TargetChannels::onFree(const ChannelPtr &channel)
+{
+    if (channel->sentAt() == Clock::time_point{})
+        --m_connecting;
+    if (!m_waiting.empty()) {
+        Waiting next = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        channel->send(next.number, std::move(next.request), std::move(next.done));
+    } else if (m_isRetired) {
+        channel->close();
+    } else {
+        m_idle.push_back(channel);
+    }
+}
+
+void TargetChannels::onClosed(const ChannelPtr &channel, bool wasConnected)
+{
+    std::erase(m_channels, channel);
+    std::erase(m_idle, channel);
+    if (!wasConnected) {
+        --m_connecting;
+        ++m_counts.connectFailures;
+        failOneWaiting();
+    }
+    if (m_connecting < m_waiting.size() && m_channels.size() < m_options.maxConnections
+        && wasConnected)
+        open();
+}
+
+void TargetChannels::failOneWaiting()
+{
+    if (m_waiting.empty())
+        return;
+    // Without a connection that could become free, all that wait have no chance.
+    const std::size_t failing = m_channels.empty() ? m_waiting.size() : 1;
+    for (std::size_t i = 0; i < failing; ++i) {
+        asio::post(m_io, [done = std::move(m_waiting.front().done)] { done(TargetReply{}); });
+        m_waiting.pop_front();
+    }
+}
+
+bool TargetChannels::abandon(CallNumber call, std::chrono::milliseconds patience)
+{
+    const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                      [call](const Waiting &w) { return w.number == call; });
+    if (waiting != m_waiting.end()) {
+        m_waiting.erase(waiting);
+        return true;
+    }
+    for (const ChannelPtr &channel : m_channels)
+        if (channel->call() == call)
+            channel->abandon(Clock::now() + patience);
+    return false;
+}
+
+void TargetChannels::sweep(Clock::time_point now)
+{
+    const std::vector<ChannelPtr> all = m_channels;
+    for (const ChannelPtr &channel : all) {
+        const Clock::time_point sentAt = channel->sentAt();
+        if (!channel->closeIfOverdue(now, m_options.connectTimeout))
+            continue;
+        ++m_counts.silent;
+        // Idle connections that have shown no life since may be as dead as this one.
+        const std::vector<ChannelPtr> idle = m_idle;
+        for (const ChannelPtr &other : idle)
+            if (other->lastAnswer() < sentAt)
+                other->close();
+    }
+}
+
+void TargetChannels::retire()
+{
+    m_isRetired = true;
+    for (const ChannelPtr &channel : std::exchange(m_idle, {}))
+        channel->close();
+}
+
+} // namespace mangoshift
