Gather changes of the store, and list again after a lost watch

Calls to the store were the dearest price after machines: each entry that changes ended a watch of each VM. Changes now gather for 500 ms, and a quiet watch waits 5 s.

--- a/include/mangoshift/storefollower.h
+++ b/include/mangoshift/storefollower.h
@@ -27,8 +27,8 @@
 /// Decides what is asked next of a store that can be listed and watched.
 ///
 /// Lists all entries in pages, then watches from the revision at which the listing began, so that
-/// what changed meanwhile is seen. Begins anew where the store has forgotten that revision. After a
-/// failure it waits, longer with each on end. Reads no clock. Not thread safe.
+/// what changed meanwhile is seen. Begins anew where the store has forgotten that revision, and after
+/// each failure, before which it waits, longer with each on end. Reads no clock. Not thread safe.
 class StoreFollower
 {
 public:
@@ -36,14 +36,16 @@
     /// Takes in one page. `revision` is the store's at that moment, `lastKey` the key to go on from
     /// where the page is not the last.
     StoreStep onPage(std::uint64_t revision, bool isLast, const std::string &lastKey);
-    /// Takes in an answer to a watch, with the revision that it goes up to.
-    StoreStep onChanges(std::uint64_t revision);
+    /// Takes in an answer to a watch, with the revision that it goes up to and whether it brought
+    /// changes. After changes it waits a moment, so that those which follow come in one answer.
+    StoreStep onChanges(std::uint64_t revision, bool hasChanges);
     /// Takes in that the store does not hold the watched revision any more.
     StoreStep onHistoryGone();
     /// Takes in that a request failed or was refused.
     StoreStep onFailure();
     StoreStep onWaited() const;
 
+
     /// Returns true once, after an answer that followed a failure.
     bool takeIsBack();
     /// Returns true while a listing is under way.
--- a/src/core/storefollower.cpp
+++ b/src/core/storefollower.cpp
@@ -13,6 +13,10 @@
 /// seconds in which a configuration has to be in force.
 constexpr std::chrono::milliseconds LongestWait{400};
 
+/// How long changes are gathered after some have come. Each call is paid for, and changes come in
+/// series; a configuration has three seconds to be in force, a leaving target serves for as long.
+constexpr std::chrono::milliseconds GatherTime{500};
+
 } // namespace
 
 StoreStep StoreFollower::start()
@@ -47,10 +51,12 @@
     return next();
 }
 
-StoreStep StoreFollower::onChanges(std::uint64_t revision)
+StoreStep StoreFollower::onChanges(std::uint64_t revision, bool hasChanges)
 {
     onAnswer();
     m_revision = std::max(m_revision, revision);
+    if (hasChanges)
+        return WaitBeforeNext{GatherTime};
     return next();
 }
 
@@ -64,6 +70,9 @@
 
 StoreStep StoreFollower::onFailure()
 {
+    // A new watch would hear of a lost history only at its end, so everything is listed again.
+    m_isListing = true;
+    m_afterKey.clear();
     const auto delay = FirstWait * (1U << std::min(m_failures, 3U));
     ++m_failures;
     return WaitBeforeNext{std::min(delay, LongestWait)};
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -41,7 +41,7 @@
     /// How long before the latency target an answer leaves, for its way to the caller.
     std::chrono::milliseconds replyMargin{10};
     /// How long a watch of the store waits for a change.
-    std::chrono::milliseconds watchWait{2000};
+    std::chrono::milliseconds watchWait{5000};
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -113,7 +113,7 @@
         onPage(*answer);
         return;
     }
-    const StoreStep step = m_follower.onChanges(answer->revision);
+    const StoreStep step = m_follower.onChanges(answer->revision, !answer->entries.empty());
     onAnswer();
     for (const StoreEntry &entry : answer->entries)
         take(entry);
--- a/src/entry/storeconnection.cpp
+++ b/src/entry/storeconnection.cpp
@@ -19,6 +19,8 @@
 /// A page of the store holds up to 1 MB of values, a third more in base64.
 constexpr HttpSizeLimits StoreLimits{64U << 10U, 8U << 20U};
 constexpr std::size_t ReadBytes = 64U << 10U;
+/// How long a connection may take to be established: a hundred times the way to the store.
+constexpr std::chrono::milliseconds ConnectTimeout{700};
 
 } // namespace
 
@@ -28,12 +30,18 @@
     explicit Link(asio::io_context &io)
         : socket(io)
         , timer(io)
+        , connectTimer(io)
         , parser(HttpParser::Side::Responses, StoreLimits)
     {
     }
 
     void connect(const tcp::endpoint &endpoint)
     {
+        connectTimer.expires_after(ConnectTimeout);
+        connectTimer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+            if (!error && !self->isClosed && !self->isConnected)
+                self->fail("connect timeout");
+        });
         socket.async_connect(endpoint, [self = shared_from_this()](const asio::error_code &error) {
             if (self->isClosed)
                 return;
@@ -42,6 +50,7 @@
                 return;
             }
             self->isConnected = true;
+            self->connectTimer.cancel();
             prepareSocket(self->socket);
             self->write();
             self->read();
@@ -122,12 +131,14 @@
     {
         isClosed = true;
         timer.cancel();
+        connectTimer.cancel();
         asio::error_code ignored;
         socket.close(ignored);
     }
 
     tcp::socket socket;
     asio::basic_waitable_timer<Clock> timer;
+    asio::basic_waitable_timer<Clock> connectTimer;
     HttpParser parser;
     std::string outgoing;
     Done done;
--- a/src/http/socketoptions.cpp
+++ b/src/http/socketoptions.cpp
@@ -14,7 +14,7 @@
 /// An idle connection is probed after this many seconds, then each second; two probes without an
 /// answer end it. A partition is thus noticed within the four seconds after which the users' rules
 /// count a machine as in touch again.
-constexpr int KeepAliveIdleSeconds = 2;
+constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 /// How long written bytes may stay unacknowledged.
