--- a/include/mangoshift/retryshare.h
+++ b/include/mangoshift/retryshare.h
@@ -24,9 +24,10 @@
 /// Extra are all arrivals at the service's targets beyond the first of each caller's request:
 /// hedges, retries, and sends after a refusal. In each window this VM sends at most the ratio times
 /// its own first requests plus its part of the slack; summed over the VMs that gives no more than
-/// the whole, without any message between them, also while they cannot see each other. Counts in
-/// steps of a tenth of the window, rounded so that the true sliding window is never over. Reads no
-/// clock. Not thread safe.
+/// the whole, without any message between them, also while they cannot see each other. Extra
+/// requests stay in the sliding window when the first requests that earned them have left it, so
+/// only the lesser of the older and the newer three quarters of the window earns: where traffic
+/// ends suddenly, what was sent is still paid for. Reads no clock. Not thread safe.
 class RetryShare
 {
 public:
@@ -41,7 +42,7 @@
     double left(Clock::time_point now);
 
 private:
-    static constexpr std::size_t Steps = 10;
+    static constexpr std::size_t Steps = 20;
 
     struct Step
     {
@@ -50,6 +51,8 @@
     };
 
     void advance(Clock::time_point now);
+    /// Returns the step that began `age` steps before the present one.
+    const Step &stepOfAge(std::size_t age) const;
 
     RetryBudgetTerms m_terms;
     double m_slackShare;
--- a/include/mangoshift/storefollower.h
+++ b/include/mangoshift/storefollower.h
@@ -27,8 +27,9 @@
 /// Decides what is asked next of a store that can be listed and watched.
 ///
 /// Lists all entries in pages, then watches from the revision at which the listing began, so that
-/// what changed meanwhile is seen. Begins anew where the store has forgotten that revision, and after
-/// each failure, before which it waits, longer with each on end. Reads no clock. Not thread safe.
+/// what changed meanwhile is seen. Begins anew where the store has forgotten that revision, and
+/// after each failure, before which it waits, longer with each on end. Reads no clock. Not thread
+/// safe.
 class StoreFollower
 {
 public:
@@ -45,7 +46,6 @@
     StoreStep onFailure();
     StoreStep onWaited() const;
 
-
     /// Returns true once, after an answer that followed a failure.
     bool takeIsBack();
     /// Returns true while a listing is under way.
--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -17,8 +17,8 @@
 {
 public:
     void onSent() { ++m_inFlight; }
-    /// Takes in an answer. `expected` is what this kind of request usually takes; zero where that is
-    /// not known.
+    /// Takes in an answer. `expected` is what this kind of request usually takes; zero where that
+    /// is not known.
     void onAnswered(Clock::duration latency, Clock::duration expected, Clock::time_point now);
     /// Takes in that the target refused a request unrun.
     void onRefused(Clock::time_point now);
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -51,8 +51,7 @@
     , documentsRaced(counters(*m_registry, "mangoshift_documents_raced_total",
                               "Documents edited from a version that had been replaced")
                          .Add({}))
-    , entryRequests(
-          counters(*m_registry, "mangoshift_entry_requests_total", "Requests answered"))
+    , entryRequests(counters(*m_registry, "mangoshift_entry_requests_total", "Requests answered"))
     , entrySeconds(prometheus::BuildHistogram()
                        .Name("mangoshift_entry_request_duration_seconds")
                        .Help("Time from receipt to answer")
--- a/src/core/retryshare.cpp
+++ b/src/core/retryshare.cpp
@@ -34,19 +34,31 @@
     return true;
 }
 
+const RetryShare::Step &RetryShare::stepOfAge(std::size_t age) const
+{
+    const auto count = static_cast<std::int64_t>(m_steps.size());
+    const std::int64_t step = m_currentStep - static_cast<std::int64_t>(age) + count;
+    return m_steps[static_cast<std::size_t>(step % count)];
+}
+
 double RetryShare::left(Clock::time_point now)
 {
     advance(now);
-    double firsts = 0.0;
+    constexpr std::size_t Quarter = Steps / 4;
+    double newerFirsts = 0.0;
+    double olderFirsts = 0.0;
     double extras = 0.0;
-    const std::size_t oldest = static_cast<std::size_t>(m_currentStep + 1) % m_steps.size();
-    for (std::size_t i = 0; i < m_steps.size(); ++i) {
-        extras += m_steps[i].extras;
-        // First requests of the step that is partly outside the window do not earn any more.
-        if (i != oldest)
-            firsts += m_steps[i].firsts;
+    // The last step lies partly outside the window: it counts, but earns nothing.
+    for (std::size_t age = 0; age <= Steps; ++age) {
+        const Step &step = stepOfAge(age);
+        extras += step.extras;
+        if (age < Steps - Quarter)
+            newerFirsts += step.firsts;
+        if (age >= Quarter && age < Steps)
+            olderFirsts += step.firsts;
     }
-    return m_terms.ratio * firsts + m_terms.slack * m_slackShare - extras;
+    return m_terms.ratio * std::min(newerFirsts, olderFirsts) + m_terms.slack * m_slackShare
+        - extras;
 }
 
 } // namespace mangoshift
--- a/src/core/targetload.cpp
+++ b/src/core/targetload.cpp
@@ -34,8 +34,7 @@
         return;
     const double ratio =
         static_cast<double>(latency.count()) / static_cast<double>(expected.count());
-    m_slowness +=
-        SlownessWeight * (std::clamp(ratio, MinSlowness, MaxSlowness) - m_slowness);
+    m_slowness += SlownessWeight * (std::clamp(ratio, MinSlowness, MaxSlowness) - m_slowness);
 }
 
 void TargetLoad::onRefused(Clock::time_point now)
--- a/src/core/targetregistry.cpp
+++ b/src/core/targetregistry.cpp
@@ -54,8 +54,8 @@
     return {TargetDelisted{id}};
 }
 
-std::vector<RegistryChange>
-TargetRegistry::replaceAll(const std::vector<RegisteredTarget> &targets, Clock::time_point now)
+std::vector<RegistryChange> TargetRegistry::replaceAll(const std::vector<RegisteredTarget> &targets,
+                                                       Clock::time_point now)
 {
     std::vector<RegistryChange> changes;
     std::set<TargetId> listed;
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -198,8 +198,7 @@
              {{"request", request.id},
               {"host", std::string(request.http.headers.value("host"))},
               {"path", request.http.target},
-              {"config_version",
-               std::to_string(request.routing ? request.routing->version() : 0)},
+              {"config_version", std::to_string(request.routing ? request.routing->version() : 0)},
               {"status", std::to_string(rejection.status)},
               {"reason", std::string(toString(rejection.verdict.reason))}});
     request.connection->respond(failureResponse(rejection.status, rejection.verdict));
@@ -263,10 +262,9 @@
                                 {"avoided", handle->load.isAvoided(now)},
                                 {"draining", handle->info.isDraining}};
     for (const auto &[name, route] : m_state.routes)
-        state["routes"][name] = {
-            {"samples", route.partLatencies.samples()},
-            {"part_p50_us", route.partLatencies.quantile(0.5).count()},
-            {"part_p90_us", route.partLatencies.quantile(0.9).count()}};
+        state["routes"][name] = {{"samples", route.partLatencies.samples()},
+                                 {"part_p50_us", route.partLatencies.quantile(0.5).count()},
+                                 {"part_p90_us", route.partLatencies.quantile(0.9).count()}};
     return state.dump();
 }
 
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -22,16 +22,16 @@
     m_entry = std::make_unique<EntryDuty>(m_settings, m_adapter, m_metrics);
     m_registry = std::make_unique<RegistryDuty>(
         m_settings, m_adapter,
-        RegistrySinks{
-            [this](RoutingTablePtr routing) { m_entry->setRouting(std::move(routing)); },
-            [this](std::vector<RegistryChange> changes) {
-                m_entry->applyTargets(std::move(changes));
-            },
-            [this] { m_entry->setListed(); },
-            [this](const char *outcome, Clock::duration took) {
-                m_metrics.storeReads.Add({{"outcome", outcome}}).Increment();
-                m_metrics.storeSeconds.Observe(std::chrono::duration<double>(took).count());
-            }});
+        RegistrySinks{[this](RoutingTablePtr routing) { m_entry->setRouting(std::move(routing)); },
+                      [this](std::vector<RegistryChange> changes) {
+                          m_entry->applyTargets(std::move(changes));
+                      },
+                      [this] { m_entry->setListed(); },
+                      [this](const char *outcome, Clock::duration took) {
+                          m_metrics.storeReads.Add({{"outcome", outcome}}).Increment();
+                          m_metrics.storeSeconds.Observe(
+                              std::chrono::duration<double>(took).count());
+                      }});
     ReportSources sources;
     sources.isReady = [this] { return m_entry->isReady(); };
     sources.states = {
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -101,8 +101,8 @@
         onFailure("status " + std::to_string(result->status));
         return;
     }
-    const auto answer = isListing ? m_adapter.parseListing(result->body)
-                                  : m_adapter.parseChanges(result->body);
+    const auto answer =
+        isListing ? m_adapter.parseListing(result->body) : m_adapter.parseChanges(result->body);
     if (!answer) {
         m_sinks.onRead("failed", took);
         onFailure(answer.error());
@@ -122,8 +122,7 @@
 
 void RegistryDuty::onPage(const StoreAnswer &answer)
 {
-    const StoreStep step =
-        m_follower.onPage(answer.revision, !answer.isTruncated, answer.lastKey);
+    const StoreStep step = m_follower.onPage(answer.revision, !answer.isTruncated, answer.lastKey);
     onAnswer();
     for (const StoreEntry &entry : answer.entries) {
         if (const auto *target = std::get_if<RegisteredTarget>(&entry.value))
@@ -146,12 +145,12 @@
         return;
     const Clock::time_point now = Clock::now();
     m_registry.onStoreBack(now);
-    logEvent(LogLevel::Info, "store_regained",
-             {{"away_ms",
-               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                  now - m_awaySince)
-                                  .count())},
-              {"revision", std::to_string(m_follower.revision())}});
+    logEvent(
+        LogLevel::Info, "store_regained",
+        {{"away_ms",
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::milliseconds>(now - m_awaySince).count())},
+         {"revision", std::to_string(m_follower.revision())}});
 }
 
 void RegistryDuty::onFailure(const std::string &why)
@@ -166,29 +165,28 @@
 
 void RegistryDuty::take(const StoreEntry &entry)
 {
-    std::visit(Overloaded{[this](const RoutingDocument &document) {
-                              if (m_routing && document.version <= m_routing->version())
-                                  return;
-                              m_routing = std::make_shared<const RoutingTable>(document);
-                              logEvent(LogLevel::Info, "configuration_adopted",
-                                       {{"version", std::to_string(document.version)},
-                                        {"routes", std::to_string(document.routes.size())}});
-                              m_sinks.onRouting(m_routing);
-                          },
-                          [this](const RegisteredTarget &target) {
-                              publish(m_registry.put(target));
-                          },
-                          [this, &entry](const UnreadableEntry &unreadable) {
-                              logEvent(LogLevel::Warning, "entry_rejected",
-                                       {{"key", entry.key}, {"why", unreadable.why}});
-                              if (!entry.targetId.empty())
-                                  publish(m_registry.remove(entry.targetId, Clock::now()));
-                          },
-                          [this, &entry](const RemovedEntry &) {
-                              if (!entry.targetId.empty())
-                                  publish(m_registry.remove(entry.targetId, Clock::now()));
-                          }},
-               entry.value);
+    std::visit(
+        Overloaded{[this](const RoutingDocument &document) {
+                       if (m_routing && document.version <= m_routing->version())
+                           return;
+                       m_routing = std::make_shared<const RoutingTable>(document);
+                       logEvent(LogLevel::Info, "configuration_adopted",
+                                {{"version", std::to_string(document.version)},
+                                 {"routes", std::to_string(document.routes.size())}});
+                       m_sinks.onRouting(m_routing);
+                   },
+                   [this](const RegisteredTarget &target) { publish(m_registry.put(target)); },
+                   [this, &entry](const UnreadableEntry &unreadable) {
+                       logEvent(LogLevel::Warning, "entry_rejected",
+                                {{"key", entry.key}, {"why", unreadable.why}});
+                       if (!entry.targetId.empty())
+                           publish(m_registry.remove(entry.targetId, Clock::now()));
+                   },
+                   [this, &entry](const RemovedEntry &) {
+                       if (!entry.targetId.empty())
+                           publish(m_registry.remove(entry.targetId, Clock::now()));
+                   }},
+        entry.value);
     armExpiry();
 }
 
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -41,8 +41,7 @@
     return status >= 200 && status < 300;
 }
 
-ForwardedRequestPtr forwardedRequest(const IncomingRequest &request,
-                                     const TargetHeaderNames &names)
+ForwardedRequestPtr forwardedRequest(const IncomingRequest &request, const TargetHeaderNames &names)
 {
     auto forwarded = std::make_shared<ForwardedRequest>();
     const HttpRequest &http = request.http;
@@ -153,9 +152,7 @@
                                       queue.push_back(next);
                               },
                               [this](const GiveAnswer &) { giveAnswer(); },
-                              [this](const GiveFailure &failure) {
-                                  giveFailure(failure.verdict);
-                              }},
+                              [this](const GiveFailure &failure) { giveFailure(failure.verdict); }},
                    action);
     }
     if (!m_isFinished)
@@ -181,14 +178,13 @@
         ++m_denied;
     std::optional<CallNumber> call;
     if (isAllowed) {
-        call = target->channels.call(
-            m_forwarded,
-            [target, expected = m_expectedLatency, weak = weak_from_this(),
-             index = action.part](TargetReply reply) {
-                onCallEnded(target, expected, reply);
-                if (const auto self = weak.lock())
-                    self->onReply(index, target, std::move(reply));
-            });
+        call = target->channels.call(m_forwarded,
+                                     [target, expected = m_expectedLatency, weak = weak_from_this(),
+                                      index = action.part](TargetReply reply) {
+                                         onCallEnded(target, expected, reply);
+                                         if (const auto self = weak.lock())
+                                             self->onReply(index, target, std::move(reply));
+                                     });
     }
     if (!call) {
         if (action.cause == SendCause::Hedge) {
@@ -258,8 +254,8 @@
         return Verdict{Execution::MayHaveRun, Reason::BadReply};
     }
     // These statuses promise the caller that nothing ran, which this target has not said.
-    const bool isUnprovenPromise = response.status == 503 || response.status == 429
-        || response.status == 408;
+    const bool isUnprovenPromise =
+        response.status == 503 || response.status == 429 || response.status == 408;
     if (fanOut() != nullptr || response.status >= 500 || isUnprovenPromise)
         return Verdict{Execution::Ran, Reason::Failed};
     return std::nullopt;
@@ -429,8 +425,8 @@
               {"execution", std::string(toString(verdict.execution))},
               {"reason", std::string(toString(verdict.reason))},
               {"took_ms", milliText(took)},
-              {"parts", std::to_string(m_machine->answeredParts()) + "/"
-                   + std::to_string(m_parts.size())},
+              {"parts",
+               std::to_string(m_machine->answeredParts()) + "/" + std::to_string(m_parts.size())},
               {"hedges", std::to_string(m_hedges)},
               {"retries", std::to_string(m_retries)},
               {"denied", std::to_string(m_denied)},
--- a/src/entry/requestfilters.cpp
+++ b/src/entry/requestfilters.cpp
@@ -49,8 +49,7 @@
 
 std::optional<Rejection> MatchRoute::apply(IncomingRequest &request) const
 {
-    request.route =
-        request.routing->match(request.http.headers.value("host"), request.http.target);
+    request.route = request.routing->match(request.http.headers.value("host"), request.http.target);
     if (request.route == nullptr)
         return badRequest(404);
     return std::nullopt;
--- a/src/entry/storeconnection.cpp
+++ b/src/entry/storeconnection.cpp
@@ -62,11 +62,11 @@
         outgoing = std::move(request);
         done = std::move(handler);
         timer.expires_after(timeout);
-        timer.async_wait([self = shared_from_this(), at = timer.expiry()](
-                             const asio::error_code &error) {
-            if (!error && !self->isClosed && self->done && self->timer.expiry() == at)
-                self->fail("timeout");
-        });
+        timer.async_wait(
+            [self = shared_from_this(), at = timer.expiry()](const asio::error_code &error) {
+                if (!error && !self->isClosed && self->done && self->timer.expiry() == at)
+                    self->fail("timeout");
+            });
     }
 
     void write()
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -64,7 +64,8 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
     ChannelOptions options;
     options.maxConnections = connectionLimit(target);
-    auto handle = std::make_shared<TargetHandle>(m_io, target, endpoint, m_names, options, m_counts);
+    auto handle =
+        std::make_shared<TargetHandle>(m_io, target, endpoint, m_names, options, m_counts);
     handle->load.setWarmUntil(now + target.warmupLeft);
     if (target.isDraining)
         handle->drainingSince = now;
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -12,7 +12,7 @@
 
 /// RFC 9110, section 7.6.1, and the length, which is stated anew for each hop.
 constexpr std::array<std::string_view, 10> ConnectionHeaders{
-    "connection", "keep-alive",        "proxy-connection", "te",      "trailer",
+    "connection", "keep-alive",        "proxy-connection", "te",     "trailer",
     "upgrade",    "transfer-encoding", "content-length",   "expect", "proxy-authorization"};
 
 void appendHeaders(std::string &bytes, const HttpHeaders &headers)
@@ -49,9 +49,9 @@
 
 bool isSameHeader(std::string_view a, std::string_view b)
 {
-    return a.size() == b.size()
-        && std::equal(a.begin(), a.end(), b.begin(),
-                      [](char x, char y) { return lowered(x) == lowered(y); });
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return lowered(x) == lowered(y);
+           });
 }
 
 std::string_view HttpHeaders::value(std::string_view name) const
--- a/src/http/httpparser.cpp
+++ b/src/http/httpparser.cpp
@@ -1,11 +1,21 @@
 #include "http/httpparser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mangoshift {
 
 namespace {
 
+/// The parser takes such names, which other HTTP programs read differently.
+bool hasSpaceInName(const HttpHeaders &headers)
+{
+    return std::any_of(headers.entries().begin(), headers.entries().end(),
+                       [](const HttpHeaders::Entry &entry) {
+                           return entry.first.find_first_of(" \t") != std::string::npos;
+                       });
+}
+
 HttpParser *parserOf(http_parser *parser)
 {
     return static_cast<HttpParser *>(parser->data);
@@ -131,7 +141,9 @@
 {
     HttpParser &self = *parserOf(parser);
     self.m_hasHeaders = true;
-    if (parser->type == HTTP_REQUEST && self.m_headers.count("host") > 1) {
+    const bool isAmbiguous = parser->type == HTTP_REQUEST
+        && (self.m_headers.count("host") > 1 || hasSpaceInName(self.m_headers));
+    if (isAmbiguous) {
         self.m_fault = HttpFault::Malformed;
         return -1;
     }
--- a/src/http/targetchannel.cpp
+++ b/src/http/targetchannel.cpp
@@ -209,8 +209,7 @@
 void TargetChannel::noteKeepAlive(const HttpHeaders &headers)
 {
     const auto timeout = keepAliveTimeout(headers.value("keep-alive"));
-    m_usableUntil =
-        timeout ? m_lastAnswer + *timeout - KeepAliveMargin : Clock::time_point::max();
+    m_usableUntil = timeout ? m_lastAnswer + *timeout - KeepAliveMargin : Clock::time_point::max();
 }
 
 void TargetChannel::abandon(Clock::time_point closeAt)
@@ -218,8 +217,7 @@
     m_closeAt = closeAt;
 }
 
-bool TargetChannel::closeIfOverdue(Clock::time_point now,
-                                   std::chrono::milliseconds connectTimeout)
+bool TargetChannel::closeIfOverdue(Clock::time_point now, std::chrono::milliseconds connectTimeout)
 {
     if (!m_isConnected && now - m_openedAt >= connectTimeout) {
         close();
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -106,9 +106,9 @@
     /// called at most once, never from within `call`. Returns no value, and sends nothing, where
     /// too many calls wait already.
     std::optional<CallNumber> call(ForwardedRequestPtr request, Done done);
-    /// Takes in that nobody waits for a call any more. One that was not sent yet is dropped, and its
-    /// `done` never called; returns true then. Of one that was sent, the connection is kept if the
-    /// answer still comes within `patience`; its `done` hears of either.
+    /// Takes in that nobody waits for a call any more. One that was not sent yet is dropped, and
+    /// its `done` never called; returns true then. Of one that was sent, the connection is kept if
+    /// the answer still comes within `patience`; its `done` hears of either.
     bool abandon(CallNumber call, std::chrono::milliseconds patience);
     /// Closes connections whose establishment or abandoned call is overdue.
     void sweep(Clock::time_point now);
--- /dev/null
+++ b/test/unit/httpparser_test.cpp
@@ -0,0 +1,149 @@
+#include <catch2/catch.hpp>
+
+#include "http/httpparser.h"
+
+using namespace mangoshift;
+
+namespace {
+
+constexpr HttpSizeLimits Limits{256, 64};
+
+HttpFault faultOf(const std::string &bytes)
+{
+    HttpParser parser(HttpParser::Side::Requests, Limits);
+    parser.feed(bytes.data(), bytes.size());
+    return parser.fault();
+}
+
+const std::string Head = "POST /a/b?c=d HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: 7\r\n";
+
+} // namespace
+
+TEST_CASE("A parser of requests")
+{
+    HttpParser parser(HttpParser::Side::Requests, Limits);
+
+    SECTION("takes a request byte by byte as well as at once")
+    {
+        const std::string bytes = Head + "Content-Length: 3\r\n\r\nabc";
+        for (const char c : bytes)
+            REQUIRE(parser.feed(&c, 1) == 1);
+        REQUIRE(parser.isComplete());
+        const HttpRequest request = parser.takeRequest();
+        CHECK(request.method == "POST");
+        CHECK(request.target == "/a/b?c=d");
+        CHECK(request.headers.value("x-request-ID") == "7");
+        CHECK(request.body == "abc");
+        CHECK(request.keepAlive);
+    }
+    SECTION("takes no byte of the next request")
+    {
+        const std::string first = Head + "Content-Length: 1\r\n\r\na";
+        const std::string bytes = first + Head + "\r\n";
+        CHECK(parser.feed(bytes.data(), bytes.size()) == first.size());
+        REQUIRE(parser.isComplete());
+        parser.takeRequest();
+        CHECK(parser.feed(bytes.data() + first.size(), bytes.size() - first.size())
+              == bytes.size() - first.size());
+        CHECK(parser.isComplete());
+    }
+    SECTION("joins the chunks of a body and leaves out trailers")
+    {
+        const std::string bytes = Head
+            + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nX-Late: 1\r\n\r\n";
+        CHECK(parser.feed(bytes.data(), bytes.size()) == bytes.size());
+        REQUIRE(parser.isComplete());
+        const HttpRequest request = parser.takeRequest();
+        CHECK(request.body == "abcde");
+        CHECK_FALSE(request.headers.contains("x-late"));
+    }
+    SECTION("says that a connection is to be closed")
+    {
+        const std::string bytes = Head + "Connection: close\r\n\r\n";
+        parser.feed(bytes.data(), bytes.size());
+        REQUIRE(parser.isComplete());
+        CHECK_FALSE(parser.takeRequest().keepAlive);
+    }
+    SECTION("sees that a caller waits before it sends the body")
+    {
+        const std::string bytes = Head + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+        parser.feed(bytes.data(), bytes.size());
+        CHECK(parser.expectsContinue());
+    }
+}
+
+TEST_CASE("Requests that could be smuggled are malformed")
+{
+    CHECK(faultOf(Head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+          == HttpFault::Malformed);
+    CHECK(faultOf(Head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd")
+          == HttpFault::Malformed);
+    CHECK(faultOf(Head + "Transfer-Encoding: xchunked\r\n\r\n") == HttpFault::Malformed);
+    CHECK(faultOf(Head + "Content-Length: +3\r\n\r\nabc") == HttpFault::Malformed);
+    CHECK(faultOf(Head + "Content-Length : 3\r\n\r\nabc") == HttpFault::Malformed);
+    CHECK(faultOf(Head + "Host: other.example\r\n\r\n") == HttpFault::Malformed);
+    CHECK(faultOf("no request at all\r\n\r\n") == HttpFault::Malformed);
+}
+
+TEST_CASE("Requests that are too large are told apart")
+{
+    CHECK(faultOf(Head + "X-Long: " + std::string(300, 'x') + "\r\n\r\n")
+          == HttpFault::HeadersTooLarge);
+    CHECK(faultOf(Head + "Content-Length: 65\r\n\r\n") == HttpFault::BodyTooLarge);
+    CHECK(faultOf(Head + "Transfer-Encoding: chunked\r\n\r\n41\r\n" + std::string(65, 'x'))
+          == HttpFault::BodyTooLarge);
+}
+
+TEST_CASE("A parser of responses")
+{
+    HttpParser parser(HttpParser::Side::Responses, Limits);
+    const auto feed = [&parser](const std::string &bytes) {
+        return parser.feed(bytes.data(), bytes.size());
+    };
+
+    SECTION("takes one without a length at the orderly end of the connection")
+    {
+        feed("HTTP/1.1 200 OK\r\nX: 1\r\n\r\nabc");
+        CHECK_FALSE(parser.isComplete());
+        parser.finish();
+        REQUIRE(parser.isComplete());
+        const HttpResponse response = parser.takeResponse();
+        CHECK(response.body == "abc");
+        CHECK_FALSE(response.keepAlive);
+    }
+    SECTION("takes none whose end is missing")
+    {
+        feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+        parser.finish();
+        CHECK_FALSE(parser.isComplete());
+    }
+    SECTION("passes over interim responses")
+    {
+        feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+        REQUIRE(parser.isComplete());
+        CHECK(parser.takeResponse().status == 204);
+    }
+    SECTION("knows that the answer to HEAD has no body")
+    {
+        parser.expectNoBody(true);
+        feed("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+        CHECK(parser.isComplete());
+    }
+    SECTION("sees bytes that are no response")
+    {
+        feed("\x01\x02\x03 garbage\r\n\r\n");
+        CHECK(parser.fault() == HttpFault::Malformed);
+    }
+}
+
+TEST_CASE("Headers that concern one connection are known")
+{
+    HttpHeaders headers;
+    headers.add("Connection", "close, X-Own");
+    headers.add("X-Own", "1");
+    headers.add("X-Other", "2");
+    CHECK(isHopByHop("connection", headers));
+    CHECK(isHopByHop("x-own", headers));
+    CHECK(isHopByHop("Transfer-Encoding", headers));
+    CHECK_FALSE(isHopByHop("X-Other", headers));
+}
--- /dev/null
+++ b/test/unit/platform_test.cpp
@@ -0,0 +1,159 @@
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/platformadapter.h"
+
+using namespace mangoshift;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+const Json Document = Json::parse(R"({
+  "version": 7,
+  "routes": [
+    {"name": "all", "host": "Shop.example", "prefix": "/a/", "kind": "safe", "timeout_ms": 2500,
+     "target_latency_ms": 150, "priority": 1, "max_attempts": 2, "top_k": 10,
+     "min_coverage": 0.89, "fanout_services": ["s1", "s2"]},
+    {"name": "split", "host": "shop.example", "prefix": "/b/", "kind": "unsafe", "timeout_ms": 1000,
+     "target_latency_ms": 600, "priority": 2, "max_attempts": 1,
+     "traffic_split": [{"service": "o1", "weight": 3}, {"service": "o2", "weight": 0}]}],
+  "services": [{"name": "s1", "health_path": "/health", "max_conns": 26, "protocol": "h1"}],
+  "limits": {"max_header_bytes": 100, "max_body_bytes": 200, "header_timeout_ms": 300,
+             "idle_timeout_ms": 400}})");
+
+const Json Server = Json::parse(R"({
+  "service": "s1", "address": "127.0.0.1:8080", "zone": "a", "version": "v1", "slots": 2,
+  "state": "ready", "warmup_left_ms": 1500, "seq": 4, "born": 1700000000000})");
+
+/// Returns the decoder's error after `change`, or an empty text.
+template <typename Change>
+std::string documentError(Change change)
+{
+    Json json = Document;
+    change(json);
+    const auto decoded = platform::decodeDocument(json);
+    return decoded ? std::string() : decoded.error();
+}
+
+template <typename Change>
+std::string serverError(Change change)
+{
+    Json json = Server;
+    change(json);
+    const auto decoded = platform::decodeTarget("i-1", json);
+    return decoded ? std::string() : decoded.error();
+}
+
+} // namespace
+
+TEST_CASE("The platform's configuration is decoded")
+{
+    const auto document = platform::decodeDocument(Document);
+    REQUIRE(document);
+    REQUIRE(document->routes.size() == 2);
+    const Route &all = document->routes[0];
+    CHECK(all.host == "shop.example");
+    CHECK(all.isIdempotent);
+    CHECK(all.timeout == 2500ms);
+    CHECK(all.latencyTarget == 150ms);
+    CHECK(std::get<FanOutTo>(all.destination).shards == std::vector<std::string>{"s1", "s2"});
+    CHECK(std::get<FanOutTo>(all.destination).records == 10);
+    const Route &split = document->routes[1];
+    CHECK_FALSE(split.isIdempotent);
+    CHECK(std::get<ForwardTo>(split.destination).services.size() == 1);
+    CHECK(document->services.at("s1").maxConnections == 26);
+    CHECK(document->limits.idleTimeout == 400ms);
+}
+
+TEST_CASE("A configuration that cannot be read names the field at fault")
+{
+    CHECK(documentError([](Json &json) { json.erase("version"); }) == "/version: is missing");
+    CHECK(documentError([](Json &json) { json["version"] = 7.5; })
+          == "/version: must be a whole number of at least 0");
+    CHECK(documentError([](Json &json) { json["routes"][1].erase("kind"); })
+          == "/routes/1/kind: is missing");
+    CHECK(documentError([](Json &json) { json["routes"][0]["fanout_services"] = "s1"; })
+          == "/routes/0/fanout_services: must be a list of services");
+    CHECK(documentError([](Json &json) { json["routes"][1]["traffic_split"][0]["weight"] = "3"; })
+          == "/routes/1/traffic_split/0/weight: must be a number");
+    CHECK(documentError([](Json &json) { json["services"] = 1; }) == "/services: must be a list");
+}
+
+TEST_CASE("A server's entry is decoded")
+{
+    const auto target = platform::decodeTarget("i-1", Server);
+    REQUIRE(target);
+    CHECK(target->id == "i-1");
+    CHECK(target->service == "s1");
+    CHECK(target->failureDomain == "a");
+    CHECK(target->slots == 2);
+    CHECK_FALSE(target->isDraining);
+    CHECK(target->warmupLeft == 1500ms);
+    CHECK(target->startedAt == 1700000000000U);
+    CHECK(serverError([](Json &json) { json["state"] = "draining"; }).empty());
+    CHECK(serverError([](Json &json) { json.erase("born"); }).empty());
+}
+
+TEST_CASE("An entry that another writer left names no server")
+{
+    CHECK(serverError([](Json &json) { json["state"] = "sleeping"; })
+          == "/state: is not a known state");
+    CHECK(serverError([](Json &json) { json.erase("address"); }) == "/address: is missing");
+    CHECK(serverError([](Json &json) { json["slots"] = "2"; })
+          == "/slots: must be a whole number of at least 0");
+    CHECK(serverError([](Json &json) { json["seq"] = -1; })
+          == "/seq: must be a whole number of at least 0");
+    CHECK(serverError([](Json &json) { json["born"] = 1.5; })
+          == "/born: must be a whole number of at least 0");
+    CHECK(serverError([](Json &json) { json["service"] = 4; }) == "/service: must be a text");
+}
+
+TEST_CASE("Answers of the store are decoded entry by entry")
+{
+    const WireAdapter adapter = platform::adapter();
+
+    SECTION("a listing with readable and unreadable entries")
+    {
+        // The second value is the text "nonsense", the third is not base64.
+        const auto answer =
+            adapter.parseListing(R"({"current_rev": 530, "truncated": true, "items": [
+            {"key": "servers/i-1", "revision": 4, "value": "eyJzZXJ2aWNlIjoiczEiLCJhZGRyZXNzIjoiMTI3LjAuMC4xOjgwODAiLCJ6b25lIjoiYSIsInNsb3RzIjoyLCJzdGF0ZSI6InJlYWR5Iiwid2FybXVwX2xlZnRfbXMiOjAsInNlcSI6NH0="},
+            {"key": "servers/i-2", "revision": 5, "value": "bm9uc2Vuc2U="},
+            {"key": "servers/i-3", "revision": 6, "value": "*"},
+            {"key": "unknown/x", "revision": 7, "value": ""}]})");
+        REQUIRE(answer);
+        CHECK(answer->revision == 530);
+        CHECK(answer->isTruncated);
+        CHECK(answer->lastKey == "unknown/x");
+        REQUIRE(answer->entries.size() == 3);
+        CHECK(std::get<RegisteredTarget>(answer->entries[0].value).id == "i-1");
+        CHECK(std::get<UnreadableEntry>(answer->entries[1].value).why
+              == "value: is not a JSON object");
+        CHECK(std::get<UnreadableEntry>(answer->entries[2].value).why == "value: is not base64");
+    }
+    SECTION("a watch with a removal")
+    {
+        const auto answer = adapter.parseChanges(
+            R"({"current_rev": 9, "events": [{"key": "servers/i-1", "revision": 9, "deleted": true}]})");
+        REQUIRE(answer);
+        REQUIRE(answer->entries.size() == 1);
+        CHECK(answer->entries[0].targetId == "i-1");
+        CHECK(std::holds_alternative<RemovedEntry>(answer->entries[0].value));
+    }
+    SECTION("a body that is none")
+    {
+        CHECK_FALSE(adapter.parseListing("[]"));
+        CHECK_FALSE(adapter.parseListing(R"({"items": []})"));
+        CHECK_FALSE(adapter.parseChanges(R"({"current_rev": 1, "items": []})"));
+    }
+}
+
+TEST_CASE("Calls to the store are spelled as the platform has them")
+{
+    const WireAdapter adapter = platform::adapter();
+    CHECK(adapter.listTarget("") == "/api/kv-range?prefix=");
+    CHECK(adapter.listTarget("servers/i 1") == "/api/kv-range?prefix=&after=servers/i%201");
+    CHECK(adapter.watchTarget(41, 2s) == "/api/kv-watch?prefix=&after=41&wait_ms=2000");
+}
--- /dev/null
+++ b/test/unit/requestmachine_test.cpp
@@ -0,0 +1,232 @@
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <random>
+
+#include "mangoshift/requestmachine.h"
+
+using namespace mangoshift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Clock::time_point Start = Clock::time_point(1h);
+const Verdict Refused{Execution::NotRun, Reason::Refused};
+const Verdict Lost{Execution::MayHaveRun, Reason::Lost};
+
+RequestTerms termsOf(std::size_t parts, std::size_t least, bool isIdempotent)
+{
+    RequestTerms terms;
+    terms.parts = parts;
+    terms.leastParts = least;
+    terms.maxAttempts = 2;
+    terms.isIdempotent = isIdempotent;
+    terms.hedgeDelay = 20ms;
+    terms.replyBy = Start + 140ms;
+    terms.deadline = Start + 1000ms;
+    return terms;
+}
+
+std::string textOf(const RequestActions &actions)
+{
+    std::string text;
+    for (const RequestAction &action : actions) {
+        if (const auto *send = std::get_if<SendPart>(&action)) {
+            const char *cause = send->cause == SendCause::First ? "send"
+                : send->cause == SendCause::Hedge               ? "hedge"
+                                                                : "retry";
+            text += std::string(cause) + std::to_string(send->part) + " ";
+        } else if (std::holds_alternative<GiveAnswer>(action)) {
+            text += "answer ";
+        } else {
+            text += "fail:" + std::string(toString(std::get<GiveFailure>(action).verdict.execution))
+                + " ";
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("A request that may run once at most")
+{
+    RequestMachine machine(termsOf(1, 1, false));
+    REQUIRE(textOf(machine.start(Start)) == "send0 ");
+
+    SECTION("is answered with what its target says")
+    {
+        CHECK(textOf(machine.onAnswered(0, Start + 5ms)) == "answer ");
+        CHECK(machine.isFinished());
+    }
+    SECTION("is sent again where it has surely not run")
+    {
+        CHECK(textOf(machine.onFailed(0, Refused, Start + 5ms)) == "retry0 ");
+        CHECK(textOf(machine.onFailed(0, Refused, Start + 6ms)) == "retry0 ");
+        SECTION("but not without end")
+        {
+            CHECK(textOf(machine.onFailed(0, Refused, Start + 7ms)) == "fail:not_run ");
+        }
+    }
+    SECTION("fails at once where it may have run")
+    {
+        CHECK(textOf(machine.onFailed(0, Lost, Start + 5ms)) == "fail:may_have_run ");
+    }
+    SECTION("is never hedged, and fails at its deadline")
+    {
+        CHECK(machine.nextEvent() == Start + 1000ms);
+        CHECK(textOf(machine.onTime(Start + 500ms)).empty());
+        CHECK(textOf(machine.onTime(Start + 1000ms)) == "fail:may_have_run ");
+    }
+}
+
+TEST_CASE("An idempotent request that is forwarded")
+{
+    RequestMachine machine(termsOf(1, 1, true));
+    machine.start(Start);
+
+    SECTION("is hedged when it is late, once")
+    {
+        CHECK(machine.nextEvent() == Start + 20ms);
+        CHECK(textOf(machine.onTime(Start + 20ms)) == "hedge0 ");
+        CHECK(textOf(machine.onTime(Start + 60ms)).empty());
+        SECTION("and waits for the copy that is left when the other fails")
+        {
+            CHECK(textOf(machine.onFailed(0, Lost, Start + 70ms)).empty());
+            CHECK(textOf(machine.onAnswered(0, Start + 80ms)) == "answer ");
+        }
+    }
+    SECTION("waits on where a hedge could not be sent")
+    {
+        machine.onTime(Start + 20ms);
+        machine.onHedgeDropped(0);
+        CHECK(textOf(machine.onAnswered(0, Start + 80ms)) == "answer ");
+    }
+    SECTION("is sent again after a failure, within its attempts")
+    {
+        CHECK(textOf(machine.onFailed(0, Lost, Start + 5ms)) == "retry0 ");
+        CHECK(textOf(machine.onFailed(0, Lost, Start + 6ms)) == "fail:may_have_run ");
+    }
+}
+
+TEST_CASE("A fan-out over four shards that needs three")
+{
+    RequestMachine machine(termsOf(4, 3, true));
+    REQUIRE(textOf(machine.start(Start)) == "send0 send1 send2 send3 ");
+    const auto answer = [&machine](std::initializer_list<std::size_t> parts) {
+        for (const std::size_t part : parts)
+            machine.onAnswered(part, Start + 10ms);
+    };
+
+    SECTION("is answered when all are in")
+    {
+        answer({0, 1, 2});
+        CHECK(textOf(machine.onAnswered(3, Start + 11ms)) == "answer ");
+    }
+    SECTION("is answered in part when the time for a good answer is up")
+    {
+        answer({0, 1, 2});
+        CHECK(machine.nextEvent() == Start + 20ms);
+        CHECK(textOf(machine.onTime(Start + 20ms)) == "hedge3 ");
+        CHECK(machine.nextEvent() == Start + 140ms);
+        CHECK(textOf(machine.onTime(Start + 140ms)) == "answer ");
+    }
+    SECTION("is answered as soon as the least are in, once that time is up")
+    {
+        answer({0, 1});
+        machine.onTime(Start + 20ms);
+        CHECK(textOf(machine.onTime(Start + 140ms)).empty());
+        CHECK(textOf(machine.onAnswered(3, Start + 300ms)) == "answer ");
+    }
+    SECTION("is answered without a shard that has failed, when the others are in")
+    {
+        answer({0, 1});
+        machine.onFailed(2, {Execution::NotRun, Reason::NoReplica}, Start + 11ms);
+        CHECK(textOf(machine.onAnswered(3, Start + 12ms)) == "answer ");
+    }
+    SECTION("fails as soon as the least cannot be had, as may have run while copies are in flight")
+    {
+        const Verdict noReplica{Execution::NotRun, Reason::NoReplica};
+        CHECK(textOf(machine.onFailed(2, noReplica, Start + 11ms)).empty());
+        CHECK(textOf(machine.onFailed(3, noReplica, Start + 12ms)) == "fail:may_have_run ");
+    }
+    SECTION("takes no second answer of a shard into account")
+    {
+        machine.onTime(Start + 20ms);
+        machine.onAnswered(0, Start + 25ms);
+        machine.onAnswered(0, Start + 26ms);
+        CHECK(machine.answeredParts() == 1);
+    }
+}
+
+TEST_CASE("A fan-out of which no shard has a target fails as not run")
+{
+    RequestMachine machine(termsOf(2, 1, true));
+    machine.start(Start);
+    const Verdict noReplica{Execution::NotRun, Reason::NoReplica};
+    CHECK(textOf(machine.onFailed(0, noReplica, Start)).empty());
+    CHECK(textOf(machine.onFailed(1, noReplica, Start)) == "fail:not_run ");
+}
+
+TEST_CASE("Whatever happens to a request, its promises hold")
+{
+    const auto seed = GENERATE(range(1U, 2001U));
+    std::mt19937 random(seed);
+    const auto pick = [&random](int least, int most) {
+        return std::uniform_int_distribution<int>(least, most)(random);
+    };
+    const bool isIdempotent = pick(0, 1) == 1;
+    const std::size_t parts = isIdempotent ? static_cast<std::size_t>(pick(1, 6)) : 1;
+    RequestTerms terms = termsOf(parts, std::max<std::size_t>(1, parts - 1), isIdempotent);
+    terms.maxAttempts = static_cast<std::uint32_t>(pick(1, 3));
+    RequestMachine machine(terms);
+
+    std::vector<int> inFlight(parts, 0);
+    std::vector<int> mayHaveRun(parts, 0);
+    int finals = 0;
+    bool hasClaimedNotRun = false;
+    Clock::time_point now = Start;
+    const std::function<void(RequestActions)> perform = [&](const RequestActions &actions) {
+        for (const RequestAction &action : actions) {
+            if (const auto *send = std::get_if<SendPart>(&action)) {
+                if (send->cause == SendCause::Hedge && pick(0, 3) == 0) {
+                    machine.onHedgeDropped(send->part);
+                    continue;
+                }
+                if (!isIdempotent)
+                    REQUIRE(mayHaveRun[send->part] == 0);
+                ++inFlight[send->part];
+                ++mayHaveRun[send->part];
+                REQUIRE(mayHaveRun[send->part] <= static_cast<int>(terms.maxAttempts));
+                continue;
+            }
+            ++finals;
+            if (const auto *failure = std::get_if<GiveFailure>(&action))
+                hasClaimedNotRun = failure->verdict.execution == Execution::NotRun;
+        }
+    };
+    perform(machine.start(now));
+    for (int i = 0; i < 60 && !machine.isFinished(); ++i) {
+        now = std::min(now + std::chrono::milliseconds(pick(0, 60)), terms.deadline);
+        const auto part = static_cast<std::size_t>(pick(0, static_cast<int>(parts) - 1));
+        const int event = pick(0, 3);
+        if (event == 3 || inFlight[part] == 0) {
+            perform(machine.onTime(now));
+            continue;
+        }
+        --inFlight[part];
+        if (event == 0) {
+            perform(machine.onAnswered(part, now));
+        } else if (event == 1) {
+            --mayHaveRun[part];
+            perform(machine.onFailed(part, Refused, now));
+        } else {
+            perform(machine.onFailed(part, Lost, now));
+        }
+    }
+    perform(machine.onTime(terms.deadline));
+    INFO("seed " << seed);
+    CHECK(finals == 1);
+    if (hasClaimedNotRun)
+        for (const int count : mayHaveRun)
+            CHECK(count == 0);
+}
--- /dev/null
+++ b/test/unit/scriptedserver.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+namespace mangoshift {
+
+/// A server on a free port of 127.0.0.1 that hands what it reads to a test's script.
+class ScriptedServer
+{
+public:
+    /// One accepted connection.
+    struct Peer : std::enable_shared_from_this<Peer>
+    {
+        explicit Peer(asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        void send(const std::string &bytes) { asio::write(socket, asio::buffer(bytes)); }
+        void close()
+        {
+            asio::error_code ignored;
+            socket.close(ignored);
+        }
+        /// Ends the connection with a reset.
+        void reset()
+        {
+            socket.set_option(asio::socket_base::linger(true, 0));
+            close();
+        }
+
+        asio::ip::tcp::socket socket;
+        std::string received;
+        std::array<char, 4096> buffer{};
+    };
+    using PeerPtr = std::shared_ptr<Peer>;
+    /// Called whenever bytes have come; `received` holds all since the script cleared it.
+    using Script = std::function<void(const PeerPtr &)>;
+
+    ScriptedServer(asio::io_context &io, Script script)
+        : m_acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_script(std::move(script))
+    {
+        accept();
+    }
+
+    asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+    std::size_t accepted() const { return m_peers.size(); }
+    const std::vector<PeerPtr> &peers() const { return m_peers; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+                if (error)
+                    return;
+                m_peers.push_back(std::make_shared<Peer>(std::move(socket)));
+                read(m_peers.back());
+                accept();
+            });
+    }
+
+    void read(const PeerPtr &peer)
+    {
+        peer->socket.async_read_some(asio::buffer(peer->buffer),
+                                     [this, peer](const asio::error_code &error, std::size_t size) {
+                                         if (error)
+                                             return;
+                                         peer->received.append(peer->buffer.data(), size);
+                                         m_script(peer);
+                                         if (peer->socket.is_open())
+                                             read(peer);
+                                     });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    Script m_script;
+    std::vector<PeerPtr> m_peers;
+};
+
+/// Runs the loop until `isDone`, for at most `patience` of real time. Returns what `isDone` says.
+inline bool runUntil(asio::io_context &io, const std::function<bool()> &isDone,
+                     std::chrono::seconds patience = std::chrono::seconds(20))
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!isDone() && std::chrono::steady_clock::now() < end)
+        io.run_one_for(std::chrono::milliseconds(50));
+    return isDone();
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/test/unit/storefollower_test.cpp
@@ -0,0 +1,71 @@
+#include <catch2/catch.hpp>
+
+#include "mangoshift/storefollower.h"
+
+using namespace mangoshift;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string textOf(const StoreStep &step)
+{
+    if (const auto *page = std::get_if<ReadPage>(&step))
+        return "page behind '" + page->afterKey + "'";
+    if (const auto *watch = std::get_if<WatchChanges>(&step))
+        return "watch from " + std::to_string(watch->revision);
+    return "wait";
+}
+
+} // namespace
+
+TEST_CASE("A follower of the store")
+{
+    StoreFollower follower;
+    REQUIRE(textOf(follower.start()) == "page behind ''");
+
+    SECTION("reads page after page, then watches from the revision of the first")
+    {
+        CHECK(textOf(follower.onPage(10, false, "k/5")) == "page behind 'k/5'");
+        CHECK(textOf(follower.onPage(14, true, "k/9")) == "watch from 10");
+    }
+    GIVEN("a whole listing")
+    {
+        follower.onPage(10, true, "k/9");
+        SECTION("goes on from each answer's revision")
+        {
+            CHECK(textOf(follower.onChanges(10, false)) == "watch from 10");
+            SECTION("after a moment in which further changes gather")
+            {
+                CHECK(textOf(follower.onChanges(12, true)) == "wait");
+                CHECK(textOf(follower.onWaited()) == "watch from 12");
+            }
+        }
+        SECTION("lists anew where the store has forgotten the revision")
+        {
+            CHECK(textOf(follower.onHistoryGone()) == "page behind ''");
+            CHECK(textOf(follower.onPage(40, true, "k/9")) == "watch from 40");
+        }
+        SECTION("lists anew after a lost watch, as a new one may hear of a lost history too late")
+        {
+            CHECK(textOf(follower.onFailure()) == "wait");
+            CHECK(follower.isAway());
+            CHECK(textOf(follower.onWaited()) == "page behind ''");
+            SECTION("and says once that the store is back")
+            {
+                follower.onPage(11, true, "k/9");
+                CHECK(follower.takeIsBack());
+                CHECK_FALSE(follower.takeIsBack());
+                CHECK_FALSE(follower.isAway());
+            }
+        }
+        SECTION("waits longer with each failure on end, up to a bound")
+        {
+            std::vector<std::chrono::milliseconds> waits;
+            for (int i = 0; i < 6; ++i)
+                waits.push_back(std::get<WaitBeforeNext>(follower.onFailure()).delay);
+            CHECK(
+                waits
+                == std::vector<std::chrono::milliseconds>{50ms, 100ms, 200ms, 400ms, 400ms, 400ms});
+        }
+    }
+}
--- /dev/null
+++ b/test/unit/targetload_test.cpp
@@ -0,0 +1,89 @@
+#include <catch2/catch.hpp>
+
+#include "mangoshift/targetload.h"
+
+using namespace mangoshift;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How often the first of two targets is picked, of a hundred evenly spread draws.
+int picksOfFirst(const TargetLoad &first, const TargetLoad &second, Clock::time_point now)
+{
+    const std::vector<const TargetLoad *> targets{&first, &second};
+    int picks = 0;
+    for (int i = 0; i < 100; ++i)
+        picks += *pickTarget(targets, now, (i + 0.5) / 100.0) == 0 ? 1 : 0;
+    return picks;
+}
+
+} // namespace
+
+TEST_CASE("Of two targets")
+{
+    const Clock::time_point now = Clock::time_point(1h);
+    TargetLoad first;
+    TargetLoad second;
+
+    SECTION("equal ones are picked equally often")
+    {
+        CHECK(picksOfFirst(first, second, now) == 50);
+    }
+    SECTION("a busy one is picked less often")
+    {
+        first.onSent();
+        CHECK(picksOfFirst(first, second, now) == 20);
+    }
+    SECTION("a slow one is picked less often, and never quite forgotten")
+    {
+        for (int i = 0; i < 30; ++i) {
+            first.onSent();
+            first.onAnswered(80ms, 10ms, now);
+        }
+        const int picks = picksOfFirst(first, second, now);
+        CHECK(picks >= 1);
+        CHECK(picks <= 3);
+    }
+    SECTION("one with an overdue answer is avoided")
+    {
+        first.onSent();
+        first.onOverdue(now);
+        CHECK(picksOfFirst(first, second, now) == 0);
+        SECTION("until it answers")
+        {
+            first.onAnswered(210ms, 200ms, now + 10ms);
+            CHECK(picksOfFirst(first, second, now + 10ms) > 30);
+        }
+        SECTION("or for a while")
+        {
+            CHECK(picksOfFirst(first, second, now + 200ms) > 0);
+        }
+        SECTION("unless the other is avoided too")
+        {
+            second.onSent();
+            second.onOverdue(now);
+            CHECK(picksOfFirst(first, second, now) == 50);
+        }
+    }
+    SECTION("one that loses requests on end is avoided for longer, up to a bound")
+    {
+        Clock::time_point at = now;
+        for (int i = 0; i < 10; ++i) {
+            first.onSent();
+            first.onLost(at);
+        }
+        CHECK(first.isAvoided(at + 1599ms));
+        CHECK_FALSE(first.isAvoided(at + 1600ms));
+    }
+    SECTION("one that is still slow after its start is picked less often")
+    {
+        first.setWarmUntil(now + 1s);
+        CHECK(picksOfFirst(first, second, now) < 40);
+        CHECK(picksOfFirst(first, second, now + 1s) == 50);
+    }
+}
+
+TEST_CASE("Of no target none is picked")
+{
+    CHECK_FALSE(pickTarget({}, Clock::time_point(1h), 0.5));
+}
