Let parts of a fan-out wait at the VM for a target with room

Cause: each VM had up to two calls at each target, 14 of all VMs at a target with two slots, so at crests parts queued at the targets first come, first served, and nearly all were late.

Now a target gets one call of a VM at first, more while it answers in time, and calls wait at the VM in the order in which they are due; what is past its time waits behind.

--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -7,6 +7,7 @@
 #include <span>
 
 #include "mangoshift/clock.h"
+#include "mangoshift/slotlimit.h"
 
 namespace mangoshift {
 
@@ -16,6 +17,11 @@
 class TargetLoad
 {
 public:
+    explicit TargetLoad(std::uint32_t slots = 1)
+        : m_limit(slots)
+    {
+    }
+
     void onSent() { ++m_inFlight; }
     /// Takes in an answer. `expected` is what this kind of request usually takes; zero where that
     /// is not known.
@@ -24,8 +30,8 @@
     void onRefused(Clock::time_point now);
     /// Takes in that a request was lost, or that no connection could be made.
     void onLost(Clock::time_point now);
-    /// Takes in that a request was given up before its answer came.
-    void onGivenUp() { --m_inFlight; }
+    /// Takes in that a request was dropped before any of it was sent.
+    void onUnsent() { --m_inFlight; }
     /// Takes in that an answer is overdue: the target is avoided until it answers, or for a while.
     void onOverdue(Clock::time_point now);
     /// Takes in how much longer the target is slow after its start.
@@ -36,12 +42,18 @@
     /// Returns the expected cost of one more request; lower is better.
     double cost(Clock::time_point now) const;
     std::uint32_t inFlight() const { return m_inFlight; }
+    /// Returns true where the target may be given one more request now. The limit begins at one and
+    /// moves within the target's slots, as other VMs send to it too: up while answers come in time,
+    /// down when they are slow or refused.
+    bool hasRoom() const { return m_inFlight < m_limit.limit(); }
+    std::uint32_t limit() const { return m_limit.limit(); }
     /// Returns how many times as long as usual its recent answers took.
     double slowness() const { return m_slowness; }
 
 private:
     void avoid(Clock::time_point now);
 
+    SlotLimit m_limit;
     std::uint32_t m_inFlight = 0;
     double m_slowness = 1.0;
     std::uint32_t m_strikes = 0;
--- a/src/core/targetload.cpp
+++ b/src/core/targetload.cpp
@@ -21,6 +21,10 @@
 /// How long a target that has refused a request is avoided: about one request's work.
 constexpr std::chrono::milliseconds RefusalAvoidance{20};
 constexpr double WarmupCost = 1.6;
+/// Answers within this many times the usual latency show that the target has room for more; ones
+/// beyond the second multiple, that it has not.
+constexpr double InTimeRatio = 1.3;
+constexpr double TooLateRatio = 2.0;
 
 } // namespace
 
@@ -34,12 +38,17 @@
         return;
     const double ratio =
         static_cast<double>(latency.count()) / static_cast<double>(expected.count());
+    if (ratio <= InTimeRatio)
+        m_limit.onSuccess();
+    else if (ratio >= TooLateRatio)
+        m_limit.onShed(now);
     m_slowness += SlownessWeight * (std::clamp(ratio, MinSlowness, MaxSlowness) - m_slowness);
 }
 
 void TargetLoad::onRefused(Clock::time_point now)
 {
     --m_inFlight;
+    m_limit.onShed(now);
     m_avoidUntil = std::max(m_avoidUntil, now + RefusalAvoidance);
 }
 
@@ -57,6 +66,7 @@
 
 void TargetLoad::avoid(Clock::time_point now)
 {
+    m_limit.restart();
     const auto doubled = FirstAvoidance * (1U << std::min(m_strikes, 3U));
     ++m_strikes;
     m_avoidUntil =
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -127,17 +127,15 @@
             m_route.partLatencies.quantile(HedgeQuantile),
             shareOf(route.latencyTarget, LeastHedgeShare), terms.hedgeDelay);
     terms.deadline = m_request.deadline;
-    terms.replyBy = std::min(
-        terms.deadline, m_request.receivedAt + route.latencyTarget - state.settings.replyMargin);
+    m_replyBy = std::min(terms.deadline,
+                         m_request.receivedAt + route.latencyTarget - state.settings.replyMargin);
+    terms.replyBy = m_replyBy;
     m_machine.emplace(terms);
 }
 
 void RequestExchange::start()
 {
-    const Clock::time_point now = Clock::now();
-    for (const Part &part : m_parts)
-        m_state.retryShare(part.service).onFirst(now);
-    perform(m_machine->start(now));
+    perform(m_machine->start(Clock::now()));
 }
 
 void RequestExchange::perform(RequestActions actions)
@@ -159,45 +157,43 @@
         armTimer();
 }
 
-bool RequestExchange::takeExtra(const Part &part, Clock::time_point now)
-{
-    return !part.mayHaveArrived || m_state.retryShare(part.service).trySpend(now);
-}
-
 RequestActions RequestExchange::sendPart(const SendPart &action, Clock::time_point now)
 {
     Part &part = m_parts[action.part];
-    if (action.cause == SendCause::Hedge)
+    if (action.cause == SendCause::Hedge) {
         markOverdue(part, now);
-    std::vector<TargetHandlePtr> tried;
-    for (const Copy &copy : part.copies)
-        tried.push_back(copy.target);
-    const TargetHandlePtr target = m_state.directory.pick(part.service, tried, now);
-    const bool isAllowed = target && takeExtra(part, now);
-    if (target && !isAllowed)
-        ++m_denied;
-    std::optional<CallNumber> call;
-    if (isAllowed) {
-        call = target->channels.call(m_forwarded,
-                                     [target, expected = m_expectedLatency, weak = weak_from_this(),
-                                      index = action.part](TargetReply reply) {
-                                         onCallEnded(target, expected, reply);
-                                         if (const auto self = weak.lock())
-                                             self->onReply(index, target, std::move(reply));
-                                     });
-    }
-    if (!call) {
-        if (action.cause == SendCause::Hedge) {
+        if (part.isWaiting) {
             m_machine->onHedgeDropped(action.part);
             return {};
         }
-        const Reason reason = target ? Reason::Overloaded : Reason::NoReplica;
-        const milliseconds retryAfter = target ? RefusedRetryAfter : NoReplicaRetryAfter;
-        return m_machine->onFailed(action.part, {Execution::NotRun, reason, retryAfter}, now);
     }
-    target->load.onSent();
-    part.copies.push_back({target, *call, true});
-    part.mayHaveArrived = true;
+    const bool isExtra = part.mayHaveArrived;
+    if (isExtra && m_state.retryShare(part.service).left(now) < 1.0) {
+        ++m_denied;
+        return onNotSent(action, CallState::NoRoom, now);
+    }
+    ServiceCall call;
+    call.service = part.service;
+    call.request = m_forwarded;
+    for (const Copy &copy : part.copies)
+        call.tried.push_back(copy.target);
+    call.usefulUntil = m_replyBy;
+    call.mayWait = action.cause != SendCause::Hedge;
+    call.expectedLatency = m_expectedLatency;
+    call.onSent = [weak = weak_from_this(), index = action.part](const TargetHandlePtr &target,
+                                                                 CallNumber number) {
+        if (const auto self = weak.lock())
+            self->onSent(index, target, number);
+    };
+    call.onEnded = [weak = weak_from_this(), index = action.part](const TargetHandlePtr &target,
+                                                                  TargetReply reply) {
+        if (const auto self = weak.lock())
+            self->onReply(index, target, std::move(reply));
+    };
+    const CallState state = m_state.directory.call(std::move(call), now);
+    if (state == CallState::NoTarget || state == CallState::NoRoom)
+        return onNotSent(action, state, now);
+    part.isWaiting = state == CallState::Waiting;
     if (action.cause == SendCause::Hedge)
         ++m_hedges;
     else if (action.cause == SendCause::Retry)
@@ -205,34 +201,38 @@
     return {};
 }
 
-void RequestExchange::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
-                                  const TargetReply &reply)
+RequestActions RequestExchange::onNotSent(const SendPart &action, CallState state,
+                                          Clock::time_point now)
 {
-    const Clock::time_point now = Clock::now();
-    switch (reply.end) {
-    case TargetReply::End::Answered:
-        if (reply.response.status == 503 || reply.response.status == 429)
-            target->load.onRefused(now);
-        else if (reply.response.status == Misdirected)
-            target->load.onLost(now);
-        else
-            target->load.onAnswered(now - reply.sentAt, expected, now);
-        break;
-    case TargetReply::End::Malformed:
-        target->load.onAnswered(Clock::duration::zero(), Clock::duration::zero(), now);
-        break;
-    case TargetReply::End::NotConnected:
-    case TargetReply::End::Lost:
-    case TargetReply::End::Abandoned:
-        target->load.onLost(now);
-        break;
+    if (action.cause == SendCause::Hedge) {
+        m_machine->onHedgeDropped(action.part);
+        return {};
     }
+    const bool isUnknown = state == CallState::NoTarget;
+    const Verdict verdict{Execution::NotRun, isUnknown ? Reason::NoReplica : Reason::Overloaded,
+                          isUnknown ? NoReplicaRetryAfter : RefusedRetryAfter};
+    return m_machine->onFailed(action.part, verdict, now);
+}
+
+void RequestExchange::onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call)
+{
+    Part &state = m_parts[part];
+    const Clock::time_point now = Clock::now();
+    RetryShare &share = m_state.retryShare(state.service);
+    if (state.mayHaveArrived)
+        share.trySpend(now);
+    else
+        share.onFirst(now);
+    state.copies.push_back({target, call, true});
+    state.isWaiting = false;
+    state.mayHaveArrived = true;
 }
 
 std::optional<Verdict> RequestExchange::judge(const TargetReply &reply) const
 {
     switch (reply.end) {
     case TargetReply::End::NotConnected:
+    case TargetReply::End::Unsent:
         return Verdict{Execution::NotRun, Reason::Lost, RefusedRetryAfter};
     case TargetReply::End::Lost:
     case TargetReply::End::Abandoned:
@@ -374,10 +374,13 @@
 {
     m_isFinished = true;
     m_timer.cancel();
-    for (Part &part : m_parts)
-        for (Copy &copy : part.copies)
-            if (copy.isOpen && copy.target->channels.abandon(copy.call, patience))
-                copy.target->load.onGivenUp();
+    for (const Part &part : m_parts) {
+        if (part.isWaiting)
+            m_state.directory.dropWaiting(part.service, m_forwarded);
+        for (const Copy &copy : part.copies)
+            if (copy.isOpen)
+                copy.target->channels.abandon(copy.call, patience);
+    }
     m_finished(shared_from_this());
 }
 
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -45,7 +45,9 @@
     struct Part
     {
         std::string service;
+        /// Those that were sent to a target.
         std::vector<Copy> copies;
+        bool isWaiting = false;
         /// Whether any copy has reached, or may still reach, a target.
         bool mayHaveArrived = false;
         std::string receipt;
@@ -54,9 +56,8 @@
 
     void perform(RequestActions actions);
     RequestActions sendPart(const SendPart &action, Clock::time_point now);
-    bool takeExtra(const Part &part, Clock::time_point now);
-    static void onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
-                            const TargetReply &reply);
+    RequestActions onNotSent(const SendPart &action, CallState state, Clock::time_point now);
+    void onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call);
     void onReply(std::size_t part, const TargetHandlePtr &target, TargetReply reply);
     /// Returns no value where the reply answers the part.
     std::optional<Verdict> judge(const TargetReply &reply) const;
@@ -75,6 +76,7 @@
     Finished m_finished;
     RouteState &m_route;
     Clock::duration m_expectedLatency{};
+    Clock::time_point m_replyBy;
     ForwardedRequestPtr m_forwarded;
     std::vector<Part> m_parts;
     std::optional<RequestMachine> m_machine;
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -15,6 +15,11 @@
 constexpr std::chrono::milliseconds LastResortTime{1000};
 /// One connection more than the target has slots, so that one that is stuck takes no slot away.
 constexpr std::size_t SpareConnections = 1;
+/// Statuses of targets that had no room.
+constexpr int Full = 503;
+constexpr int TooMany = 429;
+/// A target whose address now belongs to another answers with this status.
+constexpr int Misdirected = 421;
 
 } // namespace
 
@@ -109,32 +114,131 @@
         handle->channels.setMaxConnections(connectionLimit(handle->info));
 }
 
-TargetHandlePtr TargetDirectory::pick(const std::string &service,
-                                      const std::vector<TargetHandlePtr> &tried,
-                                      Clock::time_point now)
+std::vector<TargetHandlePtr> TargetDirectory::candidates(const ServiceCall &call,
+                                                         Clock::time_point now) const
 {
-    const auto it = m_byService.find(service);
-    if (it == m_byService.end())
-        return nullptr;
     std::vector<TargetHandlePtr> handles;
     std::vector<TargetHandlePtr> leaving;
+    const auto it = m_byService.find(call.service);
+    if (it == m_byService.end())
+        return handles;
     for (const TargetHandlePtr &handle : it->second) {
-        if (std::find(tried.begin(), tried.end(), handle) != tried.end())
+        if (std::find(call.tried.begin(), call.tried.end(), handle) != call.tried.end())
             continue;
         if (!handle->info.isDraining)
             handles.push_back(handle);
         else if (now - handle->drainingSince < LastResortTime)
             leaving.push_back(handle);
     }
-    if (handles.empty())
-        handles.swap(leaving);
+    return handles.empty() ? leaving : handles;
+}
+
+TargetHandlePtr TargetDirectory::pick(const std::vector<TargetHandlePtr> &handles,
+                                      Clock::time_point now)
+{
+    std::vector<TargetHandlePtr> free;
     std::vector<const TargetLoad *> loads;
-    loads.reserve(handles.size());
     for (const TargetHandlePtr &handle : handles)
-        loads.push_back(&handle->load);
+        if (handle->load.hasRoom()) {
+            free.push_back(handle);
+            loads.push_back(&handle->load);
+        }
     std::uniform_real_distribution<double> draw(0.0, 1.0);
     const auto picked = pickTarget(loads, now, draw(m_random));
-    return picked ? handles[*picked] : nullptr;
+    return picked ? free[*picked] : nullptr;
+}
+
+CallState TargetDirectory::call(ServiceCall call, Clock::time_point now)
+{
+    const std::vector<TargetHandlePtr> handles = candidates(call, now);
+    if (handles.empty())
+        return CallState::NoTarget;
+    const TargetHandlePtr target = pick(handles, now);
+    if (target && send(target, call))
+        return CallState::Sent;
+    if (!call.mayWait)
+        return CallState::NoRoom;
+    m_waiting[call.service].push_back(std::move(call));
+    return CallState::Waiting;
+}
+
+bool TargetDirectory::send(const TargetHandlePtr &target, ServiceCall &call)
+{
+    const auto number = target->channels.call(
+        call.request,
+        [this, target, expected = call.expectedLatency, onEnded = call.onEnded](TargetReply reply) {
+            onCallEnded(target, expected, reply);
+            onEnded(target, std::move(reply));
+            serveWaiting(target->info.service, Clock::now());
+        });
+    if (!number)
+        return false;
+    target->load.onSent();
+    call.onSent(target, *number);
+    return true;
+}
+
+void TargetDirectory::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
+                                  const TargetReply &reply)
+{
+    const Clock::time_point now = Clock::now();
+    TargetLoad &load = target->load;
+    switch (reply.end) {
+    case TargetReply::End::Answered:
+        if (reply.response.status == Full || reply.response.status == TooMany)
+            load.onRefused(now);
+        else if (reply.response.status == Misdirected)
+            load.onLost(now);
+        else
+            load.onAnswered(now - reply.sentAt, expected, now);
+        break;
+    case TargetReply::End::Malformed:
+        load.onAnswered(Clock::duration::zero(), Clock::duration::zero(), now);
+        break;
+    case TargetReply::End::Unsent:
+        load.onUnsent();
+        break;
+    case TargetReply::End::NotConnected:
+    case TargetReply::End::Lost:
+    case TargetReply::End::Abandoned:
+        load.onLost(now);
+        break;
+    }
+}
+
+void TargetDirectory::serveWaiting(const std::string &service, Clock::time_point now)
+{
+    const auto it = m_waiting.find(service);
+    if (it == m_waiting.end())
+        return;
+    std::vector<ServiceCall> &waiting = it->second;
+    while (!waiting.empty()) {
+        // What can still be in time goes first, and of that what is due first.
+        const auto next = std::min_element(waiting.begin(), waiting.end(),
+                                           [now](const ServiceCall &a, const ServiceCall &b) {
+                                               return std::pair(a.usefulUntil < now, a.usefulUntil)
+                                                   < std::pair(b.usefulUntil < now, b.usefulUntil);
+                                           });
+        const TargetHandlePtr target = pick(candidates(*next, now), now);
+        if (!target)
+            return;
+        ServiceCall call = std::move(*next);
+        waiting.erase(next);
+        if (!send(target, call))
+            return;
+    }
+    m_waiting.erase(service);
+}
+
+void TargetDirectory::dropWaiting(const std::string &service, const ForwardedRequestPtr &request)
+{
+    const auto it = m_waiting.find(service);
+    if (it == m_waiting.end())
+        return;
+    std::erase_if(it->second,
+                  [&request](const ServiceCall &call) { return call.request == request; });
+    if (it->second.empty())
+        m_waiting.erase(it);
 }
 
 void TargetDirectory::sweep(Clock::time_point now)
@@ -143,6 +247,11 @@
         handle->channels.sweep(now);
     for (const TargetHandlePtr &handle : m_leaving)
         handle->channels.sweep(now);
+    std::vector<std::string> services;
+    for (const auto &[service, waiting] : m_waiting)
+        services.push_back(service);
+    for (const std::string &service : services)
+        serveWaiting(service, now);
     std::erase_if(m_leaving,
                   [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
 }
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -29,12 +29,39 @@
                  const asio::ip::tcp::endpoint &endpoint, const TargetHeaderNames &names,
                  ChannelOptions options, ChannelCounts &counts)
         : info(std::move(target))
+        , load(info.slots)
         , channels(io, endpoint, info.id, names, options, counts)
     {
     }
 };
 using TargetHandlePtr = std::shared_ptr<TargetHandle>;
 
+/// A request to any target of a service.
+struct ServiceCall
+{
+    std::string service;
+    ForwardedRequestPtr request;
+    /// Targets that are not to be picked.
+    std::vector<TargetHandlePtr> tried;
+    /// Until when an answer is worth most: calls wait in the order of this instant, and those for
+    /// which it has passed come last.
+    Clock::time_point usefulUntil;
+    /// Whether the call may wait for a target with room.
+    bool mayWait = true;
+    /// What the target's answer usually takes; zero where that is not known.
+    Clock::duration expectedLatency{};
+    std::function<void(const TargetHandlePtr &, CallNumber)> onSent;
+    std::function<void(const TargetHandlePtr &, TargetReply)> onEnded;
+};
+
+/// What has become of a new call.
+enum class CallState : std::uint8_t {
+    Sent,
+    Waiting, ///< All targets are busy; the call is sent when one has room.
+    NoTarget, ///< The service has no target that may be picked.
+    NoRoom, ///< All targets are busy, and the call may not wait.
+};
+
 /// The targets of each service, as this VM may use them. Belongs to one thread.
 class TargetDirectory
 {
@@ -46,11 +73,13 @@
     /// Takes in the connection limits of a new configuration.
     void setRouting(RoutingTablePtr routing);
 
-    /// Picks a target of a service that is not among `tried`. A target that is leaving is picked
-    /// only where the service has no other and it has been leaving for a moment only. Returns a
-    /// null pointer where there is none.
-    TargetHandlePtr pick(const std::string &service, const std::vector<TargetHandlePtr> &tried,
-                         Clock::time_point now);
+    /// Sends a request to a target that has room, one that costs little more often than others. A
+    /// target that is leaving is picked only where the service has no other and it has been leaving
+    /// for a moment only. `onSent` is called once a target has been picked, and `onEnded` once with
+    /// its reply, never from within `call`.
+    CallState call(ServiceCall call, Clock::time_point now);
+    /// Drops a call that waits; to be named by the request and service that it was made with.
+    void dropWaiting(const std::string &service, const ForwardedRequestPtr &request);
     /// Closes overdue connections and forgets targets that are gone and have no call any more.
     void sweep(Clock::time_point now);
 
@@ -63,6 +92,12 @@
     void list(const RegisteredTarget &target, Clock::time_point now);
     void delist(const TargetId &id);
     std::size_t connectionLimit(const RegisteredTarget &target) const;
+    std::vector<TargetHandlePtr> candidates(const ServiceCall &call, Clock::time_point now) const;
+    TargetHandlePtr pick(const std::vector<TargetHandlePtr> &handles, Clock::time_point now);
+    bool send(const TargetHandlePtr &target, ServiceCall &call);
+    void onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
+                     const TargetReply &reply);
+    void serveWaiting(const std::string &service, Clock::time_point now);
 
     asio::io_context &m_io;
     const TargetHeaderNames &m_names;
@@ -71,6 +106,8 @@
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
+    /// Calls that wait for room, by service.
+    std::unordered_map<std::string, std::vector<ServiceCall>> m_waiting;
     /// Gone from the registry, with calls that are still under way.
     std::vector<TargetHandlePtr> m_leaving;
     std::minstd_rand m_random;
--- a/src/http/targetchannels.cpp
+++ b/src/http/targetchannels.cpp
@@ -103,18 +103,20 @@
     }
 }
 
-bool TargetChannels::abandon(CallNumber call, std::chrono::milliseconds patience)
+void TargetChannels::abandon(CallNumber call, std::chrono::milliseconds patience)
 {
     const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
                                       [call](const Waiting &w) { return w.number == call; });
     if (waiting != m_waiting.end()) {
+        TargetReply unsent;
+        unsent.end = TargetReply::End::Unsent;
+        asio::post(m_io, [done = std::move(waiting->done), unsent] { done(unsent); });
         m_waiting.erase(waiting);
-        return true;
+        return;
     }
     for (const ChannelPtr &channel : m_channels)
         if (channel->call() == call)
             channel->abandon(Clock::now() + patience);
-    return false;
 }
 
 void TargetChannels::sweep(Clock::time_point now)
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -49,6 +49,7 @@
         NotConnected, ///< No connection could be made; nothing was sent.
         Lost, ///< The connection ended before the whole answer was in.
         Malformed, ///< What came is not an answer.
+        Unsent, ///< Nobody waited any more, and nothing had been sent.
         Abandoned, ///< Nobody waited any more, and no answer came within the patience.
     };
 
@@ -106,10 +107,10 @@
     /// called at most once, never from within `call`. Returns no value, and sends nothing, where
     /// too many calls wait already.
     std::optional<CallNumber> call(ForwardedRequestPtr request, Done done);
-    /// Takes in that nobody waits for a call any more. One that was not sent yet is dropped, and
-    /// its `done` never called; returns true then. Of one that was sent, the connection is kept if
-    /// the answer still comes within `patience`; its `done` hears of either.
-    bool abandon(CallNumber call, std::chrono::milliseconds patience);
+    /// Takes in that nobody waits for a call any more. One that was not sent yet is dropped. Of one
+    /// that was sent, the connection is kept if the answer still comes within `patience`. `done` hears
+    /// what becomes of it.
+    void abandon(CallNumber call, std::chrono::milliseconds patience);
     /// Closes connections whose establishment or abandoned call is overdue.
     void sweep(Clock::time_point now);
     /// Lets the calls in flight end and then closes each connection.
--- a/test/unit/targetchannels_test.cpp
+++ b/test/unit/targetchannels_test.cpp
@@ -42,6 +42,8 @@
         return "lost";
     case TargetReply::End::Malformed:
         return "malformed";
+    case TargetReply::End::Unsent:
+        return "unsent";
     case TargetReply::End::Abandoned:
         return "abandoned";
     }
@@ -257,7 +259,9 @@
     }
     SECTION("and one that is abandoned before it was sent is never sent")
     {
-        CHECK(exchange.channels().abandon(second, 1s));
+        exchange.channels().abandon(second, 1s);
+        REQUIRE(exchange.run([&] { return exchange.ends().size() == 1; }));
+        CHECK(exchange.ends().front() == "unsent");
         answerOwn(asked[0]);
         REQUIRE(exchange.run([&] { return asked.size() == 2; }));
         CHECK(idOf(asked[1]->received) == "r3");
@@ -270,7 +274,7 @@
     Exchange exchange([&asked](const ScriptedServer::PeerPtr &peer) { asked.push_back(peer); });
     const CallNumber number = exchange.start("r1");
     REQUIRE(exchange.run([&] { return asked.size() == 1; }));
-    CHECK_FALSE(exchange.channels().abandon(number, 300ms));
+    exchange.channels().abandon(number, 300ms);
 
     SECTION("leaves the connection usable where the answer still comes")
     {
