--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -107,14 +107,14 @@
     RequestTerms terms;
     if (const FanOutTo *fanOut = this->fanOut()) {
         for (const std::string &shard : fanOut->shards)
-            m_parts.push_back({shard, {}, false, {}, {}});
+            m_parts.emplace_back().service = shard;
         const double least = fanOut->leastCoverage * static_cast<double>(m_parts.size());
         // The tolerance keeps a share such as 0.9 of 20 from being rounded up to 19.
         terms.leastParts =
             std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(least - 1e-9)));
     } else {
         const auto &services = std::get<ForwardTo>(route.destination).services;
-        m_parts.push_back({services[m_route.turns.next(services)].service, {}, false, {}, {}});
+        m_parts.emplace_back().service = services[m_route.turns.next(services)].service;
     }
     terms.parts = m_parts.size();
     terms.maxAttempts = route.maxAttempts;
