Write logs from a thread of their own, bounded, to standard output

A request that ends badly, late or in part says in one line what was decided for it, of the others one in 64.

Takes back the settings for peers, which nothing read yet.

--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -93,13 +93,16 @@
     EntryReloader reloader(io, path);
     std::signal(SIGPIPE, SIG_IGN);
     EntryNode node(*settings, platform::adapter());
-    if (!node.start())
+    if (!node.start()) {
+        stopLogging();
         return ExitFailure;
+    }
     reloader.start();
     signals.async_wait([&reloader](const asio::error_code &, int) { reloader.stop(); });
     io.run();
     node.stop();
     logEvent(LogLevel::Info, "vm_stopped", {{"vm", settings->vm}});
+    stopLogging();
     return ExitOk;
 }
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -40,6 +40,7 @@
     if (token.stop_requested())
         return;
     logEvent(LogLevel::Error, "stop_patience_exceeded");
+    stopLogging();
     std::_Exit(EXIT_FAILURE);
 }
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -108,13 +108,16 @@
     Reloader reloader(io, path, *settings);
     std::signal(SIGPIPE, SIG_IGN);
     const std::unique_ptr<Node> node = makeNode(*settings);
-    if (!node || !node->start())
+    if (!node || !node->start()) {
+        stopLogging();
         return ExitFailure;
+    }
     reloader.start();
     signals.async_wait([&](asio::error_code, int) { reloader.stop(); });
     io.run();
     node->stop();
     logEvent(LogLevel::Info, "vm_stopped", {{"vm", settings->vm}});
+    stopLogging();
     return ExitOk;
 }
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,11 +1,15 @@
 #include "base/log.h"
 
+#include <atomic>
+#include <chrono>
 #include <memory>
+#include <utility>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 
 namespace mangoshift {
 
@@ -26,11 +30,25 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
-log4cplus::Logger &logger()
+/// What lives as long as the process: a writer that its reader holds up is never waited for.
+struct Logging
 {
-    static log4cplus::Initializer initializer;
-    static log4cplus::Logger instance = log4cplus::Logger::getInstance("mangoshift");
-    return instance;
+    log4cplus::Initializer initializer;
+    log4cplus::Logger logger = log4cplus::Logger::getInstance("mangoshift");
+    std::unique_ptr<LogWriter> writer;
+};
+
+std::atomic<Logging *> logging{nullptr};
+std::atomic<LogLevel> leastLevel{LogLevel::Info};
+/// How long the end of a process waits for the reader of its log.
+constexpr std::chrono::milliseconds StopPatience{300};
+
+void writeLine(const log4cplus::Logger &logger, const LogLine &line)
+{
+    const log4cplus::spi::InternalLoggingEvent event(
+        logger.getName(), toLog4cplus(line.level), {}, {}, line.text, {}, {},
+        std::chrono::time_point_cast<log4cplus::helpers::Time::duration>(line.at), {}, 0);
+    logger.callAppenders(event);
 }
 
 bool needsQuotes(const std::string &value)
@@ -57,21 +75,41 @@
 
 void startLogging(LogLevel level)
 {
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    // Never deleted: the writer may still be held up when the process ends.
+    auto *started = new Logging;
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
     appender->setLayout(
         std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
-    logger().addAppender(appender);
-    setLogLevel(level);
+    started->logger.addAppender(appender);
+    started->logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+    started->writer = std::make_unique<LogWriter>(
+        LogWriterOptions{},
+        [logger = started->logger](const LogLine &line) { writeLine(logger, line); });
+    leastLevel = level;
+    logging = started;
+}
+
+void stopLogging()
+{
+    if (const Logging *started = logging)
+        started->writer->stop(StopPatience);
+}
+
+std::uint64_t logLinesLeftOut()
+{
+    const Logging *started = logging;
+    return started == nullptr ? 0 : started->writer->leftOut();
 }
 
 void setLogLevel(LogLevel level)
 {
-    logger().setLogLevel(toLog4cplus(level));
+    leastLevel = level;
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (!logger().isEnabledFor(toLog4cplus(level)))
+    const Logging *started = logging;
+    if (started == nullptr || level < leastLevel)
         return;
     std::string line = "event=" + std::string(event);
     for (const auto &[key, value] : fields) {
@@ -80,7 +118,7 @@
         line += '=';
         appendValue(line, value);
     }
-    logger().log(toLog4cplus(level), line);
+    started->writer->tryWrite({level, std::chrono::system_clock::now(), std::move(line)});
 }
 
 } // namespace mangoshift
--- /dev/null
+++ b/src/base/logwriter.cpp
@@ -0,0 +1,101 @@
+#include "base/logwriter.h"
+
+#include <utility>
+
+namespace mangoshift {
+
+namespace {
+
+/// How long lines gather before they are written together: each wake-up of the writer costs more
+/// processor time than a line.
+constexpr std::chrono::milliseconds GatherTime{50};
+/// How often the number of lines left out is written, and how long the writer sleeps at most.
+constexpr std::chrono::seconds ReportInterval{1};
+
+} // namespace
+
+LogWriter::LogWriter(LogWriterOptions options, Sink sink)
+    : m_options(options)
+    , m_sink(std::move(sink))
+    , m_ring(options.capacity)
+    , m_thread([this] { run(); })
+{
+}
+
+LogWriter::~LogWriter()
+{
+    stop(std::chrono::milliseconds(0));
+    m_thread.join();
+}
+
+bool LogWriter::isWithinBudget(LogLevel level)
+{
+    const std::int64_t second = Clock::now().time_since_epoch() / std::chrono::seconds(1);
+    if (m_budgetSecond.exchange(second) != second)
+        m_linesInSecond = 0;
+    const std::uint32_t most =
+        level >= LogLevel::Warning ? 2 * m_options.linesPerSecond : m_options.linesPerSecond;
+    // Lines that are left out do not use up the room of more serious ones.
+    if (m_linesInSecond >= most)
+        return false;
+    ++m_linesInSecond;
+    return true;
+}
+
+bool LogWriter::tryWrite(LogLine line)
+{
+    if (isWithinBudget(line.level)) {
+        const auto push = m_ring.tryPush(line);
+        if (push == BoundedRing<LogLine>::Push::First) {
+            // Under the mutex, as the writer could otherwise miss the signal before it waits.
+            const std::lock_guard lock(m_mutex);
+            m_wake.notify_one();
+        }
+        if (push != BoundedRing<LogLine>::Push::Full)
+            return true;
+    }
+    ++m_leftOut;
+    return false;
+}
+
+bool LogWriter::stop(std::chrono::milliseconds patience)
+{
+    std::unique_lock lock(m_mutex);
+    m_isStopping = true;
+    m_wake.notify_all();
+    return m_wake.wait_for(lock, patience, [this] { return m_isEnded; });
+}
+
+void LogWriter::run()
+{
+    bool isStopping = false;
+    while (!isStopping) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_wake.wait(lock, [this] { return m_isStopping || m_ring.size() > 0; });
+            m_wake.wait_for(lock, GatherTime, [this] { return m_isStopping; });
+            isStopping = m_isStopping;
+        }
+        for (const LogLine &line : m_ring.drain())
+            m_sink(line);
+        reportLeftOut(isStopping);
+    }
+    const std::lock_guard lock(m_mutex);
+    m_isEnded = true;
+    m_wake.notify_all();
+}
+
+void LogWriter::reportLeftOut(bool isLast)
+{
+    const std::uint64_t leftOut = m_leftOut;
+    const Clock::time_point now = Clock::now();
+    if (leftOut == m_reportedLeftOut || (now - m_reportedAt < ReportInterval && !isLast))
+        return;
+    m_sink({LogLevel::Warning, std::chrono::system_clock::now(),
+            "event=log_lines_left_out lines=" + std::to_string(leftOut - m_reportedLeftOut)
+                + " since_start=" + std::to_string(leftOut)});
+    m_reportedLeftOut = leftOut;
+    m_reportedAt = now;
+}
+
+} // namespace mangoshift
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -40,13 +40,6 @@
     settings.readyAddress = read("ready_address");
     settings.operatorAddress = read("operator_address");
     settings.storeAddress = read("store_address");
-    if (!json.value("peer_address", "").empty())
-        settings.peerAddress = read("peer_address");
-    if (!json.contains("seeds"))
-        return;
-    for (std::size_t i = 0; i < json.at("seeds").size(); ++i)
-        settings.seeds.push_back(
-            readAddress(json.at("seeds")[i], "/seeds/" + std::to_string(i), faults));
 }
 
 RetryBudgetTerms readBudget(const Json &json)
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -2,9 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
-#include <optional>
 #include <string>
-#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -28,10 +26,6 @@
     /// Where health, metrics and the state dump are served.
     Address operatorAddress;
     Address storeAddress;
-    /// Where other VMs ask for what this one knows, if anywhere.
-    std::optional<Address> peerAddress;
-    /// Peers that may know the configuration while the store is away.
-    std::vector<Address> seeds;
     RetryBudgetTerms retryBudget;
     /// How many VMs may be alive at once; each takes that part of what all share.
     std::size_t vmsAtMost = 12;
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstdio>
 #include <deque>
+#include <functional>
 #include <utility>
 
 #include "base/duty.h"
@@ -36,6 +37,11 @@
 /// A target whose address now belongs to another answers with this status.
 constexpr int Misdirected = 421;
 
+/// How much of a request's decisions is kept; the first ones mostly explain the others.
+constexpr std::size_t MaxTraceBytes = 600;
+/// Of the requests that went well, one in so many is logged.
+constexpr std::size_t SampledOneIn = 64;
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -170,6 +176,7 @@
     const bool isExtra = part.mayHaveArrived;
     if (isExtra && m_state.retryShare(part.service).left(now) < 1.0) {
         ++m_denied;
+        note("no_budget", part.service, {}, "");
         return onNotSent(action, CallState::NoRoom, now);
     }
     ServiceCall call;
@@ -191,8 +198,12 @@
             self->onReply(index, target, std::move(reply));
     };
     const CallState state = m_state.directory.call(std::move(call), now);
-    if (state == CallState::NoTarget || state == CallState::NoRoom)
+    if (state == CallState::NoTarget || state == CallState::NoRoom) {
+        note("not_sent", part.service, {}, state == CallState::NoTarget ? "no_target" : "no_room");
         return onNotSent(action, state, now);
+    }
+    if (state == CallState::Waiting)
+        note("waits", part.service, {}, "");
     part.isWaiting = state == CallState::Waiting;
     if (action.cause == SendCause::Hedge)
         ++m_hedges;
@@ -223,6 +234,8 @@
         share.trySpend(now);
     else
         share.onFirst(now);
+    if (state.mayHaveArrived || state.isWaiting)
+        note("sent", state.service, target->info.id, state.mayHaveArrived ? "extra" : "waited");
     state.copies.push_back({target, call, true});
     state.isWaiting = false;
     state.mayHaveArrived = true;
@@ -272,6 +285,7 @@
     const Clock::time_point now = Clock::now();
     const auto verdict = judge(reply);
     if (verdict) {
+        note("failed", state.service, target->info.id, toString(verdict->reason).data());
         if (reply.end == TargetReply::End::NotConnected && state.copies.size() == 1)
             state.mayHaveArrived = false;
         if (reply.end == TargetReply::End::Answered && verdict->execution == Execution::Ran
@@ -300,6 +314,18 @@
             copy.target->load.onOverdue(now);
 }
 
+void RequestExchange::note(const char *what, const std::string &service, const TargetId &target,
+                           const char *why)
+{
+    if (m_trace.size() >= MaxTraceBytes)
+        return;
+    m_trace += m_trace.empty() ? "" : ";";
+    m_trace += milliText(Clock::now() - m_request.receivedAt);
+    m_trace += std::string(":") + what + ":" + service;
+    m_trace += target.empty() ? "" : "@" + target;
+    m_trace += *why == '\0' ? "" : std::string(":") + why;
+}
+
 HttpResponse RequestExchange::mergedAnswer() const
 {
     const EntryHeaderNames &names = m_state.adapter.headers;
@@ -398,6 +424,21 @@
     });
 }
 
+std::string RequestExchange::missingParts() const
+{
+    std::string missing;
+    for (const Part &part : m_parts) {
+        if (!part.receipt.empty())
+            continue;
+        missing += (missing.empty() ? "" : ",") + part.service;
+        for (const Copy &copy : part.copies)
+            missing += "@" + copy.target->info.id;
+        if (missing.size() >= MaxTraceBytes)
+            break;
+    }
+    return missing;
+}
+
 void RequestExchange::report(int status, const char *outcome, const Verdict &verdict) const
 {
     const Clock::duration took = Clock::now() - m_request.receivedAt;
@@ -410,15 +451,11 @@
     m_state.metrics.entrySeconds.Add({{"route", route.name}}, latencyBuckets())
         .Observe(std::chrono::duration<double>(took).count());
     const bool isLate = took > route.latencyTarget;
-    if (verdict.isOk() && !isLate && m_machine->answeredParts() == m_parts.size())
+    const bool isOrdinary =
+        verdict.isOk() && !isLate && m_machine->answeredParts() == m_parts.size();
+    // By the id, so that all VMs that see a request keep it or leave it out.
+    if (isOrdinary && std::hash<std::string>()(m_request.id) % SampledOneIn != 0)
         return;
-    std::string missing;
-    for (const Part &part : m_parts)
-        if (part.receipt.empty()) {
-            missing += (missing.empty() ? "" : ",") + part.service + "@";
-            for (const Copy &copy : part.copies)
-                missing += copy.target->info.id + (copy.isOpen ? "+" : "-");
-        }
     logEvent(LogLevel::Info, "request_ended",
              {{"request", m_request.id},
               {"route", route.name},
@@ -433,7 +470,8 @@
               {"hedges", std::to_string(m_hedges)},
               {"retries", std::to_string(m_retries)},
               {"denied", std::to_string(m_denied)},
-              {"missing", missing}});
+              {"missing", missingParts()},
+              {"trace", m_trace}});
 }
 
 } // namespace mangoshift
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -68,7 +68,11 @@
     void giveFailure(const Verdict &verdict);
     void finish(std::chrono::milliseconds patience);
     void armTimer();
+    /// Adds a decision to the request's trace, with the time since its receipt.
+    void note(const char *what, const std::string &service, const TargetId &target,
+              const char *why);
     void report(int status, const char *outcome, const Verdict &verdict) const;
+    std::string missingParts() const;
     const FanOutTo *fanOut() const { return std::get_if<FanOutTo>(&m_request.route->destination); }
 
     EntryState &m_state;
@@ -83,6 +87,8 @@
     /// The last answer of a target that may be passed on as it is.
     std::optional<HttpResponse> m_response;
     asio::basic_waitable_timer<Clock> m_timer;
+    /// What was decided besides first sends, bounded; written when the request ends.
+    std::string m_trace;
     std::size_t m_hedges = 0;
     std::size_t m_retries = 0;
     std::size_t m_denied = 0;
--- a/test/system/process.cpp
+++ b/test/system/process.cpp
@@ -38,6 +38,7 @@
     if (m_pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         execv(path.c_str(), argv.data());
         _exit(127);
--- /dev/null
+++ b/test/unit/logwriter_test.cpp
@@ -0,0 +1,89 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <future>
+#include <vector>
+
+#include "base/logwriter.h"
+
+using namespace mangoshift;
+using namespace std::chrono_literals;
+
+namespace {
+
+LogLine lineOf(const std::string &text, LogLevel level = LogLevel::Info)
+{
+    return {level, std::chrono::system_clock::now(), text};
+}
+
+} // namespace
+
+TEST_CASE("A log whose reader has stalled holds nobody up")
+{
+    std::promise<void> entered;
+    std::promise<void> released;
+    std::shared_future<void> gate = released.get_future().share();
+    std::vector<std::string> written;
+    bool isFirst = true;
+    LogWriter writer({4, 1000}, [&](const LogLine &line) {
+        if (std::exchange(isFirst, false)) {
+            entered.set_value();
+            gate.wait();
+        }
+        written.push_back(line.text);
+    });
+    REQUIRE(writer.tryWrite(lineOf("first")));
+    entered.get_future().wait();
+
+    for (int i = 0; i < 4; ++i)
+        CHECK(writer.tryWrite(lineOf("line " + std::to_string(i))));
+    CHECK_FALSE(writer.tryWrite(lineOf("too much")));
+    CHECK(writer.leftOut() == 1);
+
+    SECTION("a stop does not wait for it")
+    {
+        CHECK_FALSE(writer.stop(0ms));
+        released.set_value();
+    }
+    SECTION("what waited is written when the reader goes on, with the number of what is missing")
+    {
+        released.set_value();
+        REQUIRE(writer.stop(20s));
+        REQUIRE(written.size() == 6);
+        CHECK(written.front() == "first");
+        const std::string report = "event=log_lines_left_out lines=1 since_start=1";
+        CHECK(std::count(written.begin(), written.end(), report) == 1);
+        CHECK(std::count(written.begin(), written.end(), "line 3") == 1);
+    }
+}
+
+TEST_CASE("The lines of one second are bounded")
+{
+    const PausedClock clock;
+    std::vector<std::string> written;
+    LogWriter writer({100, 3}, [&](const LogLine &line) { written.push_back(line.text); });
+    int taken = 0;
+    for (int i = 0; i < 10; ++i)
+        taken += writer.tryWrite(lineOf("info")) ? 1 : 0;
+    CHECK(taken == 3);
+    SECTION("warnings and errors go on for as much again")
+    {
+        for (int i = 0; i < 3; ++i)
+            CHECK(writer.tryWrite(lineOf("error", LogLevel::Error)));
+        CHECK_FALSE(writer.tryWrite(lineOf("error", LogLevel::Error)));
+    }
+    REQUIRE(writer.stop(20s));
+    CHECK(written.back().starts_with("event=log_lines_left_out"));
+}
+
+TEST_CASE("A new second brings a new budget")
+{
+    PausedClock clock;
+    LogWriter writer({100, 2}, [](const LogLine &) {});
+    CHECK(writer.tryWrite(lineOf("one")));
+    CHECK(writer.tryWrite(lineOf("two")));
+    CHECK_FALSE(writer.tryWrite(lineOf("three")));
+    CHECK(writer.tryWrite(lineOf("warning", LogLevel::Warning)));
+    clock.advance(1s);
+    CHECK(writer.tryWrite(lineOf("four")));
+}
