--- a/src/core/requestmachine.cpp
+++ b/src/core/requestmachine.cpp
@@ -71,7 +71,9 @@
     if (m_isFinished)
         return actions;
     m_execution = std::max(m_execution, verdict.execution);
-    m_lastFailure = verdict;
+    // That no further target is left explains less than why the earlier ones failed.
+    if (verdict.reason != Reason::NoReplica || m_lastFailure.reason == Reason::Ok)
+        m_lastFailure = verdict;
     if (state.state != PartState::Pending || state.inFlight > 0)
         return actions;
     if (verdict.reason != Reason::NoReplica && mayRetry(state, verdict)) {
--- a/test/unit/requestmachine_test.cpp
+++ b/test/unit/requestmachine_test.cpp
@@ -67,6 +67,14 @@
             CHECK(textOf(machine.onFailed(0, Refused, Start + 7ms)) == "fail:not_run ");
         }
     }
+    SECTION("says why its targets refused it where no other is left")
+    {
+        machine.onFailed(0, Refused, Start + 5ms);
+        const RequestActions actions =
+            machine.onFailed(0, {Execution::NotRun, Reason::NoReplica}, Start + 6ms);
+        REQUIRE(actions.size() == 1);
+        CHECK(std::get<GiveFailure>(actions.front()).verdict.reason == Reason::Refused);
+    }
     SECTION("fails at once where it may have run")
     {
         CHECK(textOf(machine.onFailed(0, Lost, Start + 5ms)) == "fail:may_have_run ");
