--- a/src/core/retryshare.cpp
+++ b/src/core/retryshare.cpp
@@ -44,7 +44,7 @@
 double RetryShare::left(Clock::time_point now)
 {
     advance(now);
-    constexpr std::size_t Quarter = Steps / 4;
+    constexpr std::size_t quarter = Steps / 4;
     double newerFirsts = 0.0;
     double olderFirsts = 0.0;
     double extras = 0.0;
@@ -52,9 +52,9 @@
     for (std::size_t age = 0; age <= Steps; ++age) {
         const Step &step = stepOfAge(age);
         extras += step.extras;
-        if (age < Steps - Quarter)
+        if (age < Steps - quarter)
             newerFirsts += step.firsts;
-        if (age >= Quarter && age < Steps)
+        if (age >= quarter && age < Steps)
             olderFirsts += step.firsts;
     }
     return m_terms.ratio * std::min(newerFirsts, olderFirsts) + m_terms.slack * m_slackShare
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -53,10 +53,16 @@
     const HttpRequest &http = request.http;
     forwarded->id = request.id;
     forwarded->head = http.method + " " + http.target + " HTTP/1.1\r\n";
-    for (const auto &[name, value] : http.headers.entries())
-        if (!isHopByHop(name, http.headers) && !isSameHeader(name, names.timeLeft)
-            && !isSameHeader(name, names.expectedTarget))
-            forwarded->head += name + ": " + value + "\r\n";
+    for (const auto &[name, value] : http.headers.entries()) {
+        const bool isOurs =
+            isSameHeader(name, names.timeLeft) || isSameHeader(name, names.expectedTarget);
+        if (isOurs || isHopByHop(name, http.headers))
+            continue;
+        forwarded->head += name;
+        forwarded->head += ": ";
+        forwarded->head += value;
+        forwarded->head += "\r\n";
+    }
     forwarded->body = http.body;
     forwarded->hasBody = !http.body.empty() || http.headers.contains("content-length")
         || http.headers.contains("transfer-encoding");
@@ -174,7 +180,8 @@
         }
     }
     const bool isExtra = part.mayHaveArrived;
-    if (isExtra && m_state.retryShare(part.service).left(now) < 1.0) {
+    RetryShare &share = m_state.retryShare(part.service);
+    if (isExtra && share.left(now) < 1.0) {
         ++m_denied;
         note("no_budget", part.service, {}, "");
         return onNotSent(action, CallState::NoRoom, now);
@@ -204,6 +211,9 @@
     }
     if (state == CallState::Waiting)
         note("waits", part.service, {}, "");
+    // Already when it begins to wait, as others that wait would pass the same check.
+    if (isExtra)
+        share.trySpend(now);
     part.isWaiting = state == CallState::Waiting;
     if (action.cause == SendCause::Hedge)
         ++m_hedges;
@@ -229,11 +239,8 @@
 {
     Part &state = m_parts[part];
     const Clock::time_point now = Clock::now();
-    RetryShare &share = m_state.retryShare(state.service);
-    if (state.mayHaveArrived)
-        share.trySpend(now);
-    else
-        share.onFirst(now);
+    if (!state.mayHaveArrived)
+        m_state.retryShare(state.service).onFirst(now);
     if (state.mayHaveArrived || state.isWaiting)
         note("sent", state.service, target->info.id, state.mayHaveArrived ? "extra" : "waited");
     state.copies.push_back({target, call, true});
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -56,6 +56,7 @@
                          {{"target", target.id}, {"service", target.service}});
             }
             handle.info = target;
+            handle.isMisdirected = false;
             return;
         }
         delist(target.id);
@@ -123,7 +124,8 @@
     if (it == m_byService.end())
         return handles;
     for (const TargetHandlePtr &handle : it->second) {
-        if (std::find(call.tried.begin(), call.tried.end(), handle) != call.tried.end())
+        if (handle->isMisdirected
+            || std::find(call.tried.begin(), call.tried.end(), handle) != call.tried.end())
             continue;
         if (!handle->info.isDraining)
             handles.push_back(handle);
@@ -188,7 +190,7 @@
         if (reply.response.status == Full || reply.response.status == TooMany)
             load.onRefused(now);
         else if (reply.response.status == Misdirected)
-            load.onLost(now);
+            onMisdirected(*target, now);
         else
             load.onAnswered(now - reply.sentAt, expected, now);
         break;
@@ -206,6 +208,17 @@
     }
 }
 
+void TargetDirectory::onMisdirected(TargetHandle &target, Clock::time_point now)
+{
+    target.load.onLost(now);
+    if (std::exchange(target.isMisdirected, true))
+        return;
+    logEvent(LogLevel::Warning, "target_misdirected",
+             {{"target", target.info.id},
+              {"service", target.info.service},
+              {"address", target.info.address}});
+}
+
 void TargetDirectory::serveWaiting(const std::string &service, Clock::time_point now)
 {
     const auto it = m_waiting.find(service);
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -24,6 +24,8 @@
     TargetChannels channels;
     /// When this VM heard that the target is leaving.
     Clock::time_point drainingSince{};
+    /// Another target has said that it has this one's address, so this one is not there any more.
+    bool isMisdirected = false;
 
     TargetHandle(asio::io_context &io, RegisteredTarget target,
                  const asio::ip::tcp::endpoint &endpoint, const TargetHeaderNames &names,
@@ -97,6 +99,7 @@
     bool send(const TargetHandlePtr &target, ServiceCall &call);
     void onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
                      const TargetReply &reply);
+    static void onMisdirected(TargetHandle &target, Clock::time_point now);
     void serveWaiting(const std::string &service, Clock::time_point now);
 
     asio::io_context &m_io;
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -204,9 +204,9 @@
 {
     m_parser.setLimits(sizeLimits(limits));
     const Clock::duration age = now - m_since;
-    if (m_state == State::Lingering && age >= LingerTime) {
-        close();
-    } else if (m_state == State::Writing && age >= WriteTimeout) {
+    const bool isOverdue = (m_state == State::Lingering && age >= LingerTime)
+        || (m_state == State::Writing && age >= WriteTimeout);
+    if (isOverdue) {
         close();
     } else if (m_state == State::Reading) {
         if (!m_parser.hasBegun()) {
--- a/src/http/targetchannel.cpp
+++ b/src/http/targetchannel.cpp
@@ -25,11 +25,11 @@
 /// Returns `timeout=N` of a Keep-Alive header, if it is there.
 std::optional<std::chrono::seconds> keepAliveTimeout(std::string_view header)
 {
-    constexpr std::string_view Key = "timeout=";
-    const std::size_t at = header.find(Key);
+    constexpr std::string_view key = "timeout=";
+    const std::size_t at = header.find(key);
     if (at == std::string_view::npos)
         return std::nullopt;
-    const std::string_view digits = header.substr(at + Key.size());
+    const std::string_view digits = header.substr(at + key.size());
     int seconds = 0;
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
     if (parsed.ec != std::errc())
--- a/src/http/targetchannels.cpp
+++ b/src/http/targetchannels.cpp
@@ -45,7 +45,7 @@
 TargetChannels::ChannelPtr TargetChannels::takeIdle(Clock::time_point now)
 {
     while (!m_idle.empty()) {
-        const ChannelPtr channel = m_idle.back();
+        ChannelPtr channel = m_idle.back();
         m_idle.pop_back();
         if (!channel->isStale(now))
             return channel;
--- a/standins/fakeservers.cpp
+++ b/standins/fakeservers.cpp
@@ -8,6 +8,7 @@
 //                    behind each), "cut" (half an answer), "fail" (500), "mute" (runs, never
 //                    answers)
 //     GET /ran       a JSON object: for each request id the ids of the servers that ran it
+//     GET /arrivals  how many requests have reached the servers, those that were refused included
 
 #include <cstdio>
 #include <map>
@@ -42,6 +43,7 @@
     std::string mode = "ok";
     std::uint64_t ran = 0;
     RanLog *log = nullptr;
+    std::uint64_t arrivals = 0;
 };
 
 /// One connection to one server.
@@ -84,6 +86,7 @@
     void answer(const HttpRequest &request)
     {
         const std::string id(request.headers.value("x-request-id"));
+        ++m_server.arrivals;
         const std::string_view expected = request.headers.value("x-expect-instance");
         if (!expected.empty() && expected != m_server.id) {
             send(refusal(421));
@@ -179,8 +182,11 @@
                                         const HttpRequest &request) {
         HttpResponse response;
         response.status = 200;
+        std::uint64_t arrivals = 0;
+        for (const auto &server : servers)
+            arrivals += server->arrivals;
         if (request.method == "GET")
-            response.body = Json(log).dump();
+            response.body = request.target == "/ran" ? Json(log).dump() : std::to_string(arrivals);
         const std::string id = request.target.substr(request.target.find('?') + 1);
         for (const auto &server : servers)
             if (request.method == "POST" && server->id == id)
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -2,6 +2,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <memory>
 #include <sstream>
 
@@ -42,7 +43,9 @@
 class EntrySystem
 {
 public:
-    EntrySystem()
+    /// `slack` is the part of the retry budget that does not depend on the traffic, of this VM.
+    explicit EntrySystem(int slack = 1000)
+        : m_slack(slack)
     {
         std::string pattern = std::filesystem::temp_directory_path() / "mangoshift-entry-XXXXXX";
         m_folder = mkdtemp(pattern.data());
@@ -53,8 +56,8 @@
         for (const ServerSpec &server : Servers)
             arguments.push_back(server.id + "=" + at(server.ip, ServerPort) + "=" + server.service);
         m_servers = std::make_unique<Process>("fakeservers", arguments, m_folder + "/servers");
-        REQUIRE(eventually([this] { return order("1", "PUT", "/item?x", "y"); }));
-        REQUIRE(eventually([this] { return order("2", "POST", "/mode?none", "ok"); }));
+        REQUIRE(eventually([] { return order("1", "PUT", "/item?x", "y"); }));
+        REQUIRE(eventually([] { return order("2", "POST", "/mode?none", "ok"); }));
         for (const ServerSpec &server : Servers)
             announce(server, "ready", 1);
         configure(1, "s1");
@@ -74,7 +77,8 @@
                             {"ready_address", at("3", ReadyPort)},
                             {"operator_address", at("3", OperatorPort)},
                             {"store_address", at("1", StorePort)},
-                            {"retry_budget", {{"ratio", 0.2}, {"slack", 1000}, {"window_s", 10}}},
+                            {"vms_at_most", 1},
+                            {"retry_budget", {{"ratio", 0}, {"slack", m_slack}, {"window_s", 60}}},
                             {"watch_wait_ms", 500}};
         std::ofstream(m_folder + "/settings.json") << settings.dump();
         m_vm = std::make_unique<Process>(
@@ -141,6 +145,23 @@
         return client.send(request);
     }
 
+    /// Returns the statuses of `count` orders that are sent at the same time.
+    std::vector<int> askAtOnce(int count, const std::string &name)
+    {
+        std::vector<std::future<int>> answers;
+        answers.reserve(count);
+        for (int i = 0; i < count; ++i)
+            answers.push_back(std::async(std::launch::async, [this, name, i] {
+                const auto answer = ask("POST", "/orders/x", name + "-" + std::to_string(i));
+                return answer ? answer->status : 0;
+            }));
+        std::vector<int> statuses;
+        statuses.reserve(count);
+        for (std::future<int> &answer : answers)
+            statuses.push_back(answer.get());
+        return statuses;
+    }
+
     bool isReady()
     {
         const auto result = httplib::Client(ip("3"), ReadyPort).Get("/api/ready");
@@ -155,6 +176,13 @@
         return Json::parse(result->body).value(id, std::vector<std::string>());
     }
 
+    int arrivals()
+    {
+        const auto result = httplib::Client(ip("2"), OrdersPort).Get("/arrivals");
+        REQUIRE(result);
+        return std::stoi(result->body);
+    }
+
     std::string log() const
     {
         std::ostringstream text;
@@ -200,6 +228,7 @@
         return result && result->status == 200;
     }
 
+    int m_slack;
     std::string m_folder;
     std::unique_ptr<Process> m_store;
     std::unique_ptr<Process> m_servers;
@@ -334,6 +363,19 @@
     }
 }
 
+TEST_CASE("Requests that wait for a server do not draw on the retry budget twice")
+{
+    constexpr int slack = 5;
+    constexpr int callers = 40;
+    EntrySystem system(slack);
+    system.setServer("i-oa", "shed");
+    system.setServer("i-ob", "shed");
+    const int before = system.arrivals();
+    for (const int status : system.askAtOnce(callers, "busy"))
+        CHECK(status == 503);
+    CHECK(system.arrivals() - before <= callers + slack);
+}
+
 TEST_CASE("A fan-out whose servers misbehave says truly what it covers")
 {
     EntrySystem system;
@@ -387,6 +429,22 @@
     }
 }
 
+TEST_CASE("A server whose address another has taken over is not asked again")
+{
+    EntrySystem system;
+    // The entry names the address of the first server, which knows itself as i-oa.
+    system.announce({"i-gone", "orders", Servers[5].ip}, "ready", 1);
+    REQUIRE(eventually([&system] { return contains(system.log(), "target=i-gone"); }));
+    const int before = system.arrivals();
+    // So many at once that the others have no room.
+    constexpr int callers = 60;
+    for (const int status : system.askAtOnce(callers, "taken"))
+        CHECK(status == 200);
+    CHECK(system.arrivals() - before <= callers + 1);
+    CHECK(eventually(
+        [&system] { return contains(system.log(), "event=target_misdirected target=i-gone"); }));
+}
+
 TEST_CASE("Servers that leave get nothing new")
 {
     EntrySystem system;
--- a/test/unit/requestfilters_test.cpp
+++ b/test/unit/requestfilters_test.cpp
@@ -70,7 +70,7 @@
 TEST_CASE("A request that does not pass is surely not run")
 {
     const RequestFilterChain chain(names());
-    const auto statusOf = [&chain](IncomingRequest request) {
+    const auto statusOf = [&chain](IncomingRequest &&request) {
         const auto rejection = chain.apply(request);
         REQUIRE(rejection);
         CHECK(rejection->verdict.execution == Execution::NotRun);
@@ -86,13 +86,15 @@
     {
         IncomingRequest request = requestOf("shop.example", "/orders/7", "600");
         request.http.headers.entries().erase(request.http.headers.entries().begin() + 1);
-        CHECK(statusOf(std::move(request)) == 400);
+        const int status = statusOf(std::move(request));
+        CHECK(status == 400);
     }
     SECTION("503 while no configuration is known, never 404")
     {
         IncomingRequest request = requestOf("nobody.example", "/unheard/", "600");
         request.routing = nullptr;
-        CHECK(statusOf(std::move(request)) == 503);
+        const int status = statusOf(std::move(request));
+        CHECK(status == 503);
     }
     SECTION("503 where no time is left")
     {
--- a/test/unit/retryshare_test.cpp
+++ b/test/unit/retryshare_test.cpp
@@ -90,12 +90,12 @@
     // Invariant over random traffic: whatever each VM sees, the sum is never over.
     const auto seed = GENERATE(range(1U, 21U));
     std::mt19937 random(seed);
-    constexpr std::size_t Vms = 7;
-    std::vector<RetryShare> shares(Vms, RetryShare(Terms, 1.0 / Vms));
+    constexpr std::size_t vms = 7;
+    std::vector<RetryShare> shares(vms, RetryShare(Terms, 1.0 / vms));
     SlidingWindow judge;
     Clock::time_point now = Clock::time_point(1h);
     std::uniform_int_distribution<int> step(0, 20);
-    std::uniform_int_distribution<std::size_t> vm(0, Vms - 1);
+    std::uniform_int_distribution<std::size_t> vm(0, vms - 1);
     for (int i = 0; i < 20000; ++i) {
         now += std::chrono::milliseconds(step(random));
         // Traffic comes in waves, so that a window can lose many first requests at once.
--- a/test/unit/storefollower_test.cpp
+++ b/test/unit/storefollower_test.cpp
@@ -61,6 +61,7 @@
         SECTION("waits longer with each failure on end, up to a bound")
         {
             std::vector<std::chrono::milliseconds> waits;
+            waits.reserve(6);
             for (int i = 0; i < 6; ++i)
                 waits.push_back(std::get<WaitBeforeNext>(follower.onFailure()).delay);
             CHECK(
