Carry out removals that waited for an outage's end also where nothing else changes

The removal of an entry that lapsed while the store was away was armed by the next change only; with none, the target was kept for good. Found by reading; the system test failed before (target never delisted) and passes now. Requests under way are kept longer than the connections that report to them at the end of a process.

--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -87,6 +87,8 @@
     Duty<Message> m_duty;
     EntryState m_state;
     RequestFilterChain m_filters;
+    /// Outlives the connections, which report here when they are closed.
+    std::unordered_map<CallerConnectionPtr, std::shared_ptr<RequestExchange>> m_exchanges;
     CallerListener m_callers;
     CallerListener m_balancer;
     RoutingTablePtr m_routing;
@@ -94,7 +96,6 @@
     bool m_isLeaving = false;
     Clock::time_point m_leavingSince{};
     Clock::time_point m_leaveDeadline{};
-    std::unordered_map<CallerConnectionPtr, std::shared_ptr<RequestExchange>> m_exchanges;
     asio::basic_waitable_timer<Clock> m_sweepTimer;
     std::atomic<bool> m_isReady{false};
     std::atomic<bool> m_hasLeft{false};
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -132,6 +132,7 @@
     }
     if (!m_follower.isListing()) {
         publish(m_registry.replaceAll(m_listed, Clock::now()));
+        armExpiry();
         m_listed.clear();
         if (!std::exchange(m_hasListed, true))
             m_sinks.onListed();
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -108,8 +108,8 @@
     /// too many calls wait already.
     std::optional<CallNumber> call(ForwardedRequestPtr request, Done done);
     /// Takes in that nobody waits for a call any more. One that was not sent yet is dropped. Of one
-    /// that was sent, the connection is kept if the answer still comes within `patience`. `done` hears
-    /// what becomes of it.
+    /// that was sent, the connection is kept if the answer still comes within `patience`. `done`
+    /// hears what becomes of it.
     void abandon(CallNumber call, std::chrono::milliseconds patience);
     /// Closes connections whose establishment or abandoned call is overdue.
     void sweep(Clock::time_point now);
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -126,6 +126,10 @@
     {
         REQUIRE(order("2", "POST", "/mode?" + id, mode));
     }
+    void withdraw(const ServerSpec &server)
+    {
+        REQUIRE(order("1", "DELETE", "/item?servers/" + server.id, ""));
+    }
     void setStore(const std::string &mode) { REQUIRE(order("1", "POST", "/mode", mode)); }
     void putItem(const std::string &key, const std::string &value)
     {
@@ -494,6 +498,16 @@
             [&system] { return contains(system.log(), "event=configuration_adopted version=9"); }));
         CHECK(contains(system.log(), "event=store_regained"));
     }
+    SECTION("removes an entry that lapsed meanwhile once its server has had time to write again")
+    {
+        system.setStore("down");
+        REQUIRE(eventually([&system] { return contains(system.log(), "event=store_lost"); }));
+        system.withdraw(Servers[5]);
+        system.setStore("ok");
+        REQUIRE(eventually([&system] { return contains(system.log(), "event=store_regained"); }));
+        CHECK(eventually(
+            [&system] { return contains(system.log(), "event=target_delisted target=i-oa"); }));
+    }
     SECTION("keeps a VM that starts in it from being ready, and its callers from a false 404")
     {
         system.setStore("down");
