--- a/src/app/check.cpp
+++ b/src/app/check.cpp
@@ -7,20 +7,22 @@
 #include "app/files.h"
 #include "config/documentjson.h"
 #include "config/settings.h"
+#include "entry/entrysettings.h"
 
 namespace mangoshift {
 
 namespace {
 
 constexpr const char *Usage =
-    "Usage: mangoshift check --settings FILE | --document FILE\n"
+    "Usage: mangoshift check --settings FILE | --entry-settings FILE | --document FILE\n"
     "\n"
     "Checks a process's settings or the operators' document as an entry VM would, and prints each\n"
     "fault with its JSON pointer. Exits with 0 where there is none, with 1 where there is one.\n"
     "\n"
-    "  -s, --settings FILE  the settings to check; may be given again\n"
-    "  -d, --document FILE  the document to check; may be given again\n"
-    "  -h, --help           print this text\n";
+    "  -s, --settings FILE        the settings of `serve` to check; may be given again\n"
+    "  -e, --entry-settings FILE  the settings of `entry` to check; may be given again\n"
+    "  -d, --document FILE        the document to check; may be given again\n"
+    "  -h, --help                 print this text\n";
 
 template <typename Parse>
 int checkFile(const char *path, Parse parse)
@@ -55,12 +57,17 @@
     const auto checkSettings = [&](const char *path) {
         return note(checkFile(path, parseSettings));
     };
+    const auto checkEntrySettings = [&](const char *path) {
+        return note(checkFile(path, parseEntrySettings));
+    };
     const auto checkDocument = [&](const char *path) {
         return note(
             checkFile(path, [](const std::string &text) { return parseDocument(text, 1); }));
     };
-    const auto operands = readCommandLine(
-        argc, argv, Usage, {{"settings", 's', checkSettings}, {"document", 'd', checkDocument}});
+    const auto operands = readCommandLine(argc, argv, Usage,
+                                          {{"settings", 's', checkSettings},
+                                           {"entry-settings", 'e', checkEntrySettings},
+                                           {"document", 'd', checkDocument}});
     if (!operands)
         return operands.error();
     if (!hasFile || !operands->empty())
--- a/test/system/commands_test.cpp
+++ b/test/system/commands_test.cpp
@@ -71,6 +71,7 @@
         CHECK(statusOf({"check", "--document", sourcePath("deploy/sundarban/document.json")})
               == ExitOk);
         CHECK(statusOf({"check", "--settings", document}) == ExitFault);
+        CHECK(statusOf({"check", "--entry-settings", document}) == ExitFault);
         CHECK(statusOf({"check", "--document", document + ".missing"}) == ExitFailure);
     }
     SECTION("state of an address where nothing listens fails")
