--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "http/httpstatus.h"
 
 namespace mangoshift {
 
@@ -164,9 +165,9 @@
 {
     HttpResponse response;
     if (http.target == m_adapter.readyPath)
-        response.status = m_isReady ? 200 : 503;
+        response.status = m_isReady ? httpstatus::Ok : httpstatus::ServiceUnavailable;
     else
-        response.status = 404;
+        response.status = httpstatus::NotFound;
     connection->respond(std::move(response));
 }
 
--- a/src/entry/incomingrequest.h
+++ b/src/entry/incomingrequest.h
@@ -5,6 +5,7 @@
 
 #include "http/callerconnection.h"
 #include "http/httpexchange.h"
+#include "http/httpstatus.h"
 #include "mangoshift/clock.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/verdict.h"
@@ -29,7 +30,7 @@
 /// Why a request is answered without any target having seen it.
 struct Rejection
 {
-    int status = 503;
+    int status = httpstatus::ServiceUnavailable;
     Verdict verdict;
 };
 
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "http/httpstatus.h"
 
 namespace mangoshift {
 
@@ -18,10 +19,6 @@
 /// How long removals wait after an outage of the store. The platform promises that entries which
 /// lapsed meanwhile are back within about two seconds if the target lives.
 constexpr std::chrono::milliseconds ReturnGrace{2300};
-/// Statuses of the store.
-constexpr int HistoryGone = 410;
-constexpr int Ok = 200;
-constexpr int NotFound = 404;
 
 } // namespace
 
@@ -89,14 +86,15 @@
         onFailure(result.error());
         return;
     }
-    if (result->status == HistoryGone) {
+    if (result->status == httpstatus::Gone) {
         m_sinks.onRead("history_gone", took);
         logEvent(LogLevel::Warning, "store_history_gone",
                  {{"revision", std::to_string(m_follower.revision())}});
         perform(m_follower.onHistoryGone());
         return;
     }
-    if (result->status != Ok && !(isListing && result->status == NotFound)) {
+    if (result->status != httpstatus::Ok
+        && !(isListing && result->status == httpstatus::NotFound)) {
         m_sinks.onRead("refused", took);
         onFailure("status " + std::to_string(result->status));
         return;
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -9,6 +9,7 @@
 
 #include "base/duty.h"
 #include "base/log.h"
+#include "http/httpstatus.h"
 #include "mangoshift/recordmerge.h"
 
 namespace mangoshift {
@@ -34,14 +35,19 @@
 /// When to come back after targets have refused a request, or none was known.
 constexpr milliseconds RefusedRetryAfter{100};
 constexpr milliseconds NoReplicaRetryAfter{250};
-/// A target whose address now belongs to another answers with this status.
-constexpr int Misdirected = 421;
 
 /// How much of a request's decisions is kept; the first ones mostly explain the others.
 constexpr std::size_t MaxTraceBytes = 600;
 /// Of the requests that went well, one in so many is logged.
 constexpr std::size_t SampledOneIn = 64;
 
+/// These statuses promise a caller that its request has not run.
+bool promisesNotRun(int status)
+{
+    return status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests
+        || status == httpstatus::RequestTimeout;
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -74,8 +80,9 @@
 int statusOf(const Verdict &verdict)
 {
     if (verdict.execution == Execution::NotRun)
-        return 503;
-    return verdict.reason == Reason::DeadlineExceeded ? 504 : 502;
+        return httpstatus::ServiceUnavailable;
+    return verdict.reason == Reason::DeadlineExceeded ? httpstatus::GatewayTimeout
+                                                      : httpstatus::BadGateway;
 }
 
 std::string milliText(Clock::duration duration)
@@ -96,7 +103,7 @@
     HttpResponse response;
     response.status = status;
     response.headers.add("Content-Type", "application/json");
-    if (status == 503 && verdict.retryAfter.count() > 0) {
+    if (status == httpstatus::ServiceUnavailable && verdict.retryAfter.count() > 0) {
         std::array<char, 32> seconds{};
         std::snprintf(seconds.data(), seconds.size(), "%.3f",
                       std::chrono::duration<double>(verdict.retryAfter).count());
@@ -264,7 +271,8 @@
     }
     const HttpResponse &response = reply.response;
     const EntryHeaderNames &names = m_state.adapter.headers;
-    if (response.status == Misdirected || response.headers.contains(names.notRun))
+    if (response.status == httpstatus::MisdirectedRequest
+        || response.headers.contains(names.notRun))
         return Verdict{Execution::NotRun, Reason::Refused, RefusedRetryAfter};
     if (response.headers.contains("content-encoding"))
         return Verdict{Execution::MayHaveRun, Reason::BadReply};
@@ -274,8 +282,7 @@
         return Verdict{Execution::MayHaveRun, Reason::BadReply};
     }
     // These statuses promise the caller that nothing ran, which this target has not said.
-    const bool isUnprovenPromise =
-        response.status == 503 || response.status == 429 || response.status == 408;
+    const bool isUnprovenPromise = promisesNotRun(response.status);
     if (fanOut() != nullptr || response.status >= 500 || isUnprovenPromise)
         return Verdict{Execution::Ran, Reason::Failed};
     return std::nullopt;
@@ -296,8 +303,7 @@
         if (reply.end == TargetReply::End::NotConnected && state.copies.size() == 1)
             state.mayHaveArrived = false;
         if (reply.end == TargetReply::End::Answered && verdict->execution == Execution::Ran
-            && reply.response.status != 503 && reply.response.status != 429
-            && reply.response.status != 408)
+            && !promisesNotRun(reply.response.status))
             m_response = std::move(reply.response);
         perform(m_machine->onFailed(part, *verdict, now));
         return;
@@ -345,7 +351,7 @@
         receipts += (receipts.empty() ? "" : ", ") + part.receipt;
     }
     HttpResponse response;
-    response.status = 200;
+    response.status = httpstatus::Ok;
     response.headers.add(names.target.requestId, m_request.id);
     response.headers.add(names.partReceipts, receipts);
     response.headers.add(names.missingParts, std::to_string(m_parts.size() - bodies.size()));
--- a/src/entry/requestfilters.cpp
+++ b/src/entry/requestfilters.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "http/httpstatus.h"
+
 namespace mangoshift {
 
 namespace {
@@ -36,7 +38,7 @@
 {
     request.id = request.http.headers.value(requestIdHeader);
     if (request.id.empty() || request.id.size() > MaxIdLength)
-        return badRequest(400);
+        return badRequest(httpstatus::BadRequest);
     return std::nullopt;
 }
 
@@ -44,14 +46,15 @@
 {
     if (request.routing)
         return std::nullopt;
-    return Rejection{503, {Execution::NotRun, Reason::NotReady, StartRetryAfter}};
+    return Rejection{httpstatus::ServiceUnavailable,
+                     {Execution::NotRun, Reason::NotReady, StartRetryAfter}};
 }
 
 std::optional<Rejection> MatchRoute::apply(IncomingRequest &request) const
 {
     request.route = request.routing->match(request.http.headers.value("host"), request.http.target);
     if (request.route == nullptr)
-        return badRequest(404);
+        return badRequest(httpstatus::NotFound);
     return std::nullopt;
 }
 
@@ -65,7 +68,7 @@
                      request.receivedAt + std::max(*left - DeadlineMargin, milliseconds(0)));
     if (request.deadline > request.receivedAt)
         return std::nullopt;
-    return Rejection{503, {Execution::NotRun, Reason::DeadlineExceeded}};
+    return Rejection{httpstatus::ServiceUnavailable, {Execution::NotRun, Reason::DeadlineExceeded}};
 }
 
 RequestFilterChain::RequestFilterChain(const EntryHeaderNames &names)
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -5,6 +5,7 @@
 
 #include "base/address.h"
 #include "base/log.h"
+#include "http/httpstatus.h"
 
 namespace mangoshift {
 
@@ -15,11 +16,6 @@
 constexpr std::chrono::milliseconds LastResortTime{1000};
 /// One connection more than the target has slots, so that one that is stuck takes no slot away.
 constexpr std::size_t SpareConnections = 1;
-/// Statuses of targets that had no room.
-constexpr int Full = 503;
-constexpr int TooMany = 429;
-/// A target whose address now belongs to another answers with this status.
-constexpr int Misdirected = 421;
 
 } // namespace
 
@@ -187,9 +183,10 @@
     TargetLoad &load = target->load;
     switch (reply.end) {
     case TargetReply::End::Answered:
-        if (reply.response.status == Full || reply.response.status == TooMany)
+        if (reply.response.status == httpstatus::ServiceUnavailable
+            || reply.response.status == httpstatus::TooManyRequests)
             load.onRefused(now);
-        else if (reply.response.status == Misdirected)
+        else if (reply.response.status == httpstatus::MisdirectedRequest)
             onMisdirected(*target, now);
         else
             load.onAnswered(now - reply.sentAt, expected, now);
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -6,6 +6,7 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include "http/httpstatus.h"
 #include "http/socketoptions.h"
 
 namespace mangoshift {
@@ -35,8 +36,8 @@
 int statusOf(HttpFault fault)
 {
     if (fault == HttpFault::HeadersTooLarge)
-        return 431;
-    return fault == HttpFault::BodyTooLarge ? 413 : 400;
+        return httpstatus::HeadersTooLarge;
+    return fault == HttpFault::BodyTooLarge ? httpstatus::ContentTooLarge : httpstatus::BadRequest;
 }
 
 } // namespace
@@ -213,7 +214,7 @@
             if (age >= limits.idleTimeout + IdleMargin)
                 linger();
         } else if (age >= (m_parser.hasHeaders() ? BodyTimeout : limits.headerTimeout)) {
-            reject(408);
+            reject(httpstatus::RequestTimeout);
         }
     }
 }
--- /dev/null
+++ b/src/http/httpstatus.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace mangoshift::httpstatus {
+
+// The statuses that decide something, by the names of RFC 9110.
+constexpr int Ok = 200;
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int RequestTimeout = 408;
+constexpr int Gone = 410;
+constexpr int ContentTooLarge = 413;
+constexpr int MisdirectedRequest = 421;
+constexpr int TooManyRequests = 429;
+constexpr int HeadersTooLarge = 431;
+constexpr int BadGateway = 502;
+constexpr int ServiceUnavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+} // namespace mangoshift::httpstatus
