--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -255,13 +255,21 @@
     state["caller_connections"] = m_callers.connections();
     state["requests_under_way"] = m_exchanges.size();
     state["target_connections"] = m_state.directory.openConnections();
+    const ChannelCounts &counts = m_state.directory.counts();
+    state["connections_since_start"] = {{"opened", counts.opened},
+                                        {"not_made", counts.connectFailures},
+                                        {"lost", counts.lost},
+                                        {"malformed_answers", counts.malformed},
+                                        {"foreign_answers", counts.foreignAnswers},
+                                        {"gone_silent", counts.silent}};
+    state["log_lines_left_out"] = logLinesLeftOut();
     const Clock::time_point now = Clock::now();
     for (const auto &[id, handle] : m_state.directory.all())
-        state["targets"][id] = {{"service", handle->info.service},
-                                {"in_flight", handle->load.inFlight()},
-                                {"slowness", handle->load.slowness()},
-                                {"avoided", handle->load.isAvoided(now)},
-                                {"draining", handle->info.isDraining}};
+        state["targets"][id] = {
+            {"service", handle->info.service},     {"in_flight", handle->load.inFlight()},
+            {"limit", handle->load.limit()},       {"misdirected", handle->isMisdirected},
+            {"slowness", handle->load.slowness()}, {"avoided", handle->load.isAvoided(now)},
+            {"draining", handle->info.isDraining}};
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {{"samples", route.partLatencies.samples()},
                                  {"part_p50_us", route.partLatencies.quantile(0.5).count()},
--- a/src/entry/storeconnection.h
+++ b/src/entry/storeconnection.h
@@ -35,7 +35,6 @@
     /// Asks for `target`. `done` is called exactly once, `timeout` later at the latest, never from
     /// within `get`; not if the object is destroyed first.
     void get(const std::string &target, std::chrono::milliseconds timeout, Done done);
-    void setAddress(Address address) { m_address = std::move(address); }
 
 private:
     struct Link;
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -53,8 +53,6 @@
     void sweep(Clock::time_point now, const CallerLimits &limits);
     void close();
 
-    bool isBusy() const { return m_state == State::Working; }
-
 private:
     enum class State : std::uint8_t { Reading, Working, Writing, Lingering, Closed };
 
--- a/src/http/callerlistener.cpp
+++ b/src/http/callerlistener.cpp
@@ -1,6 +1,5 @@
 #include "http/callerlistener.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -104,11 +103,4 @@
         connection->closeIfIdle();
 }
 
-std::size_t CallerListener::busyConnections() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_connections.begin(), m_connections.end(),
-                      [](const CallerConnectionPtr &c) { return c->isBusy(); }));
-}
-
 } // namespace mangoshift
--- a/src/http/callerlistener.h
+++ b/src/http/callerlistener.h
@@ -33,8 +33,6 @@
     void closeIdle();
 
     std::size_t connections() const { return m_connections.size(); }
-    /// Returns how many requests are being worked on.
-    std::size_t busyConnections() const;
 
 private:
     void accept();
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -72,7 +72,7 @@
     std::size_t maxWaiting = 64;
 };
 
-/// Counts of what went over the connections to targets; for metrics.
+/// Counts of what went over the connections to targets; for the state dump.
 struct ChannelCounts
 {
     std::uint64_t opened = 0;
