--- a/test/system/badinput_test.cpp
+++ b/test/system/badinput_test.cpp
@@ -118,7 +118,8 @@
                 connection.send(bytes);
                 connection.readToEnd();
             }
-            CHECK(logHolds(deployment, vm, "event=peer_frame_rejected"));
+            CHECK(
+                eventually([&] { return logHolds(deployment, vm, "event=peer_frame_rejected"); }));
             CHECK(allAnswer(deployment));
         }
 
