--- a/include/mangoshift/retryshare.h
+++ b/include/mangoshift/retryshare.h
@@ -23,11 +23,11 @@
 ///
 /// Extra are all arrivals at the service's targets beyond the first of each caller's request:
 /// hedges, retries, and sends after a refusal. In each window this VM sends at most the ratio times
-/// its own first requests plus its part of the slack; summed over the VMs that gives no more than
-/// the whole, without any message between them, also while they cannot see each other. Extra
-/// requests stay in the sliding window when the first requests that earned them have left it, so
-/// only the lesser of the older and the newer three quarters of the window earns: where traffic
-/// ends suddenly, what was sent is still paid for. Reads no clock. Not thread safe.
+/// its own first requests plus its part of the slack. Where traffic reaches the VMs alike, that
+/// sums up to no more than the whole, without any message between them. Extra requests stay in the
+/// sliding window when the first requests that earned them have left it, so only the lesser of the
+/// older and the newer three quarters of the window earns: where traffic ends suddenly, what was
+/// sent is still paid for. Reads no clock. Not thread safe.
 class RetryShare
 {
 public:
