Keep deadlines and removed targets right across a pause of a VM

A stopped process keeps running until each of its threads has taken the signal, so a frame can be read, with all of its time left, just before the pause, and wait in a ring across it. The ticket duty counted its deadline from when it came out of the ring. Three other places read the clock twice, for the time left and for the time of sending.

Ruled out: the transit estimate (the frames that ran late had been read before the pause, on a link whose clock was known), targets that run late by themselves (their queue drops what is overdue).

Change: each hand-over carries the instant from which its time left counts, taken with one reading. A home that finds itself paused sends nothing and refuses as not run what it has not sent, until the control duty has heard from others and holds their newest configuration, 5 s at most. Membership over UDP moves into a class of its own, which the entry VMs will need too.

--- a/include/mangoshift/membership.h
+++ b/include/mangoshift/membership.h
@@ -147,6 +147,8 @@
     std::vector<MemberRecord> table() const;
     /// Returns a hash of the table without the dead; equal tables have equal hashes.
     std::uint64_t tableHash() const;
+    /// Takes in that this VM was paused until now, however it was noticed.
+    void onPaused(Clock::time_point now);
     /// Whether this VM has slept and not heard from others or the platform since.
     bool isDoubtful() const { return m_isDoubtful; }
     /// Whether enough peers have answered, or none did within the patience of a new VM after the
--- a/include/mangoshift/slotscheduler.h
+++ b/include/mangoshift/slotscheduler.h
@@ -172,6 +172,12 @@
     /// are left to those, but for shards that have no others, and for requests that name the
     /// domain.
     SchedulerActions setForeignDomains(std::set<std::string> domains, Clock::time_point now);
+    /// Stops sending, and refuses as `NotReady` what was never sent. For an owner that was paused:
+    /// its document may be out of date, so that targets which have left would get requests. Calls
+    /// in flight go on; until `resume`, new requests are refused and retries wait.
+    SchedulerActions suspend(Clock::time_point now);
+    /// Sends again. Does nothing where it was not suspended.
+    SchedulerActions resume(Clock::time_point now);
     /// Takes in a request.
     SchedulerActions onRequest(ShardRequest request, Clock::time_point now);
     /// Takes in that the asker no longer needs the answer to a request.
@@ -275,6 +281,7 @@
     HedgeBudget m_budget;
     SchedulerCounters m_counters;
     DocumentPtr m_document;
+    bool m_isSuspended = false;
     std::size_t m_sharers = 1;
     std::set<std::string> m_foreignDomains;
     std::unordered_map<std::string, std::shared_ptr<internal::TargetState>> m_targets;
--- a/include/mangoshift/submissionmachine.h
+++ b/include/mangoshift/submissionmachine.h
@@ -26,14 +26,14 @@
     Clock::time_point deadline;
 };
 
-/// Hands the request to a home, which is given `timeLeft`.
+/// Hands the request to a home, which answers by `deadline`.
 struct SendSubmission
 {
     ExchangeId exchange = 0;
     VmId home;
     std::string failureDomain;
     ShardKey shard;
-    std::chrono::microseconds timeLeft{0};
+    Clock::time_point deadline;
 };
 
 /// Tells a home that its answer comes too late.
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "duties/wiretime.h"
 
 namespace mangoshift {
 
@@ -23,13 +24,6 @@
 /// What a stop may take beyond its patience before the process is ended as it is.
 constexpr std::chrono::milliseconds StopSlack{500};
 
-std::uint64_t randomIncarnation()
-{
-    std::random_device device;
-    // 31 bits, so that exchange ids, which carry it in their upper half, stay positive in JSON.
-    return device() >> 1U;
-}
-
 /// Ends the process at `end` plus a slack, unless asked to stop before.
 void endProcessAt(Clock::time_point end, const std::stop_token &token)
 {
@@ -79,12 +73,13 @@
                       if ((exchange & TicketExchangeBit) != 0)
                           m_tickets->tryPost(ExchangeUnsent{exchange});
                   }});
-    m_homes = std::make_unique<HomeDuty>(HomeDuty::Options{m_self.incarnation, m_settings.placement,
-                                                           m_self.region, &m_metrics,
-                                                           schedulerOptions(m_settings.mechanisms)},
-                                         [this](LinkId link, wire::ShardRepliesT replies) {
-                                             onHomeReplies(link, std::move(replies));
-                                         });
+    m_homes = std::make_unique<HomeDuty>(
+        HomeDuty::Options{m_self.incarnation, m_settings.placement, m_self.region, &m_metrics,
+                          schedulerOptions(m_settings.mechanisms)},
+        [this](LinkId link, wire::ShardRepliesT replies) {
+            onHomeReplies(link, std::move(replies));
+        },
+        [this](HomesPaused paused) { m_control->tryPost(paused); });
     m_queries = std::make_unique<QueryDuty>(
         m_self, QueryDuty::Options{m_settings.placement, m_settings.mechanisms.homeHedges},
         [this](const VmId &vm, FramePtr frame) { return sendFrame(vm, std::move(frame)); });
@@ -111,6 +106,7 @@
                          m_tickets->tryPost(MembersChanged{members});
                          m_queries->tryPost(MembersChanged{std::move(members)});
                      },
+                     [this](ConfigConfirmed confirmed) { m_homes->tryPost(confirmed); },
                      [this](const VmId &vm, FramePtr frame) {
                          m_peers->tryPost(SendToVm{vm, std::move(frame)});
                      },
@@ -194,8 +190,10 @@
 {
     if (vm != m_self.vm)
         return m_peers->tryPost(SendToVm{vm, std::move(frame)});
-    if (wire::ShardBatchT *batch = frame->body.AsShardBatch())
-        return m_homes->tryPost(HomeBatch{LocalLink, Clock::now(), std::move(*batch)});
+    if (wire::ShardBatchT *batch = frame->body.AsShardBatch()) {
+        const Clock::time_point sentAt = fromWireTime(batch->sent_at_us);
+        return m_homes->tryPost(HomeBatch{LocalLink, sentAt, std::move(*batch)});
+    }
     if (wire::CancelShardsT *cancel = frame->body.AsCancelShards())
         return m_homes->tryPost(HomeCancel{LocalLink, std::move(*cancel)});
     return false;
@@ -210,7 +208,7 @@
     else if (wire::ShardRepliesT *replies = frame->body.AsShardReplies())
         onReplies(std::move(*replies));
     else if (wire::TicketRequestT *request = frame->body.AsTicketRequest())
-        m_tickets->tryPost(PeerTicketRequest{link, std::move(*request)});
+        m_tickets->tryPost(PeerTicketRequest{link, arrivedAt, std::move(*request)});
     else if (wire::TicketReplyT *reply = frame->body.AsTicketReply())
         m_tickets->tryPost(PeerTicketReply{std::move(*reply)});
     else
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -89,8 +89,12 @@
     for (auto &[vm, entry] : m_entries)
         if (entry.record.state == MemberState::Suspect)
             entry.condemnAt += delay;
-    if (gap < m_options.pause)
-        return;
+    if (gap >= m_options.pause)
+        onPaused(now);
+}
+
+void Membership::onPaused(Clock::time_point now)
+{
     m_isDoubtful = true;
     m_wokeAt = now;
     m_wokeSequence = m_lastSequence;
--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -55,7 +55,7 @@
 
 SchedulerActions SlotScheduler::onRequest(ShardRequest request, Clock::time_point now)
 {
-    if (!m_document)
+    if (!m_document || m_isSuspended)
         return {failureOf(request, {Execution::NotRun, Reason::NotReady})};
     if (m_document->find(request.shard).shard == nullptr)
         return {failureOf(request, {Execution::NotRun, Reason::UnknownShard})};
@@ -178,6 +178,8 @@
 
 void SlotScheduler::dispatch(ReplicaSet &set, Clock::time_point now)
 {
+    if (m_isSuspended)
+        return;
     while (!set.waiting.empty() && sendNext(set, now)) {
     }
     if (set.waiting.empty())
--- a/src/core/slotschedulertargets.cpp
+++ b/src/core/slotschedulertargets.cpp
@@ -1,4 +1,5 @@
-// What the scheduler knows of targets: from the document, and from how calls to them ended.
+// What the scheduler knows of targets: from the document, from how calls to them ended, and whether
+// that may be out of date.
 
 #include <algorithm>
 #include <utility>
@@ -46,6 +47,26 @@
     return takeActions();
 }
 
+SchedulerActions SlotScheduler::suspend(Clock::time_point now)
+{
+    m_isSuspended = true;
+    std::vector<ShardRequestId> unsent;
+    for (const auto &[id, pending] : m_pending)
+        if (pending.tried.empty())
+            unsent.push_back(id);
+    for (const ShardRequestId id : unsent)
+        refuse(m_pending.at(id), Reason::NotReady, microseconds(0), now);
+    return takeActions();
+}
+
+SchedulerActions SlotScheduler::resume(Clock::time_point now)
+{
+    m_isSuspended = false;
+    for (auto &[key, set] : m_sets)
+        dispatch(*set, now);
+    return takeActions();
+}
+
 SchedulerActions SlotScheduler::setSharers(std::size_t vms, Clock::time_point now)
 {
     if (std::exchange(m_sharers, std::max<std::size_t>(vms, 1)) == m_sharers || !m_document)
--- a/src/core/submissionmachine.cpp
+++ b/src/core/submissionmachine.cpp
@@ -105,14 +105,13 @@
 {
     if (m_nextCandidate >= m_candidates.size())
         return finish(m_lastRefusal);
-    const auto timeLeft =
-        std::chrono::duration_cast<std::chrono::microseconds>(m_plan.deadline - now - ReplyMargin);
-    if (timeLeft.count() <= 0)
+    const Clock::time_point homeDeadline = m_plan.deadline - ReplyMargin;
+    if (now >= homeDeadline)
         return finish({{Execution::NotRun, Reason::DeadlineExceeded}, {}});
     const auto &[home, domain] = m_candidates[m_nextCandidate++];
     m_attempt = Attempt{m_nextExchange(), home};
     return {ArmTimer{m_plan.deadline},
-            SendSubmission{m_attempt->exchange, home, domain, m_plan.shard, timeLeft}};
+            SendSubmission{m_attempt->exchange, home, domain, m_plan.shard, homeDeadline}};
 }
 
 SubmissionActions SubmissionMachine::finish(TicketOutcome outcome)
--- a/src/duties/controlduty.cpp
+++ b/src/duties/controlduty.cpp
@@ -1,13 +1,11 @@
 #include "duties/controlduty.h"
 
-#include <random>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
 #include "config/vmlist.h"
-#include "duties/memberswire.h"
 
 namespace mangoshift {
 
@@ -24,28 +22,6 @@
 /// Between two reads of the list by a VM that has not joined, or doubts its view.
 constexpr std::chrono::seconds UrgentListInterval{1};
 
-const char *nameOf(MemberState state)
-{
-    switch (state) {
-    case MemberState::Alive:
-        return "alive";
-    case MemberState::Suspect:
-        return "suspect";
-    case MemberState::Dead:
-        return "dead";
-    case MemberState::Leaving:
-        return "leaving";
-    }
-    return "unknown";
-}
-
-/// A new process has no configuration.
-Member startingMember(Member member)
-{
-    member.isStarting = true;
-    return member;
-}
-
 } // namespace
 
 ControlDuty::ControlDuty(const Settings &settings, Member self, ControlSinks sinks,
@@ -55,15 +31,17 @@
     , m_metrics(metrics)
     , m_duty("control", RingCapacity)
     , m_tick(m_duty.io())
-    , m_heartbeats(
-          m_duty.io(), settings.peerListenAddress,
-          [this](const HeartbeatMessage &message) { onHeartbeat(message); }, metrics)
-    , m_membership(startingMember(m_self), Options, std::random_device{}(), Clock::now())
+    , m_members(m_duty.io(), settings.peerListenAddress, m_self, Options,
+                {[this](const MemberViewPtr &view) { m_sinks.onMembers(view); },
+                 [this](const VmId &vm, FramePtr frame) { sendToVm(vm, std::move(frame)); },
+                 [this](LinkId link, FramePtr frame) { sendOnLink(link, std::move(frame)); },
+                 [this](const HeartbeatMessage &message) { onHeard(message); }},
+                metrics)
     , m_config({[this](const VmId &vm, FramePtr frame) { sendToVm(vm, std::move(frame)); },
                 [this](LinkId link, FramePtr frame) { sendOnLink(link, std::move(frame)); },
                 [this](DocumentPtr document) { m_sinks.onDocument(std::move(document)); },
                 [this](const VmId &vm, ConfigVersion version) { announce(vm, version); },
-                [this] { return m_membership.view()->members.size() > 1; }},
+                [this] { return m_members.membership().view()->members.size() > 1; }},
                metrics)
     , m_bytesIn(metrics.controlBytes.Add({{"direction", "in"}, {"channel", "peer"}}))
     , m_bytesOut(metrics.controlBytes.Add({{"direction", "out"}, {"channel", "peer"}}))
@@ -85,8 +63,7 @@
 
 void ControlDuty::start()
 {
-    m_heartbeats.start();
-    publishView();
+    m_members.start();
     armTick();
     m_duty.start([this](ControlMessage &message) { handle(message); });
     m_platform.start();
@@ -110,11 +87,32 @@
                    [this](ControlFrame &each) { onFrame(each); },
                    [this](PlatformDocument &each) { m_config.onPlatform(each); },
                    [this](PlatformList &each) { onList(each); },
-                   [this](StartLeaving &) { perform(m_membership.leave()); },
+                   [this](HomesPaused &each) { onHomesPaused(each); },
+                   [this](StartLeaving &) { m_members.leave(); },
                    [this](StateRequest &each) { each.reply(stateJson()); },
                },
                message);
     updateReadiness();
+    confirmConfig();
+}
+
+void ControlDuty::onHomesPaused(const HomesPaused &message)
+{
+    m_unconfirmed = message;
+    m_members.onPaused();
+}
+
+/// Tells the homes once somebody has been heard since they woke, and nothing newer is left to
+/// fetch.
+void ControlDuty::confirmConfig()
+{
+    const ConfigStore &store = m_config.store();
+    const bool isNewest =
+        store.newestChecked() >= store.newestHeard() && store.version() == store.heldVersion();
+    if (!m_unconfirmed || m_members.membership().isDoubtful() || !isNewest)
+        return;
+    m_sinks.onConfigConfirmed({m_unconfirmed->wokeAt});
+    m_unconfirmed.reset();
 }
 
 void ControlDuty::onFrame(ControlFrame &message)
@@ -125,12 +123,8 @@
         m_config.onPull(message.link, *configPull);
     } else if (wire::ConfigReplyT *configReply = body.AsConfigReply()) {
         m_config.onReply(*configReply);
-    } else if (body.AsMembersPull() != nullptr) {
-        wire::MembersReplyT reply;
-        reply.known = toWire(m_membership.table());
-        sendOnLink(message.link, makeFrame(std::move(reply)));
-    } else if (const wire::MembersReplyT *members = body.AsMembersReply()) {
-        perform(m_membership.onTable(fromWire(members->known), Clock::now()));
+    } else {
+        m_members.onFrame(message.link, *message.frame);
     }
 }
 
@@ -141,21 +135,22 @@
         logEvent(LogLevel::Warning, "vm_list_rejected", {{"why", listed.error().message}});
         return;
     }
-    perform(m_membership.onPlatformList(*listed, message.askedAt, Clock::now()));
+    m_members.onList(*listed, message.askedAt);
 }
 
-void ControlDuty::onHeartbeat(const HeartbeatMessage &message)
+void ControlDuty::onHeard(const HeartbeatMessage &message)
 {
-    perform(m_membership.onHeartbeat(message, Clock::now()));
     m_config.onHeard(message.sender.member.vm, message.configVersion, m_hasJoined);
     updateReadiness();
+    confirmConfig();
 }
 
 void ControlDuty::onTick()
 {
-    perform(m_membership.onTick(Clock::now()));
+    m_members.onTick();
     m_config.onTick();
     updateReadiness();
+    confirmConfig();
     updatePlan();
     armTick();
 }
@@ -169,61 +164,32 @@
     });
 }
 
-void ControlDuty::perform(MembershipActions actions)
-{
-    for (MembershipAction &action : actions)
-        std::visit(
-            Overloaded{
-                [this](SendHeartbeat &each) { m_heartbeats.send(each.address, each.message); },
-                [this](PullMembers &each) { sendToVm(each.vm, makeFrame(wire::MembersPullT{})); },
-                [this](ViewChanged &) { publishView(); },
-                [this](MemberStateChanged &each) { logMemberState(each); },
-            },
-            action);
-}
-
-void ControlDuty::logMemberState(const MemberStateChanged &change)
-{
-    logEvent(LogLevel::Info, "member_state",
-             {{"member", change.vm},
-              {"state", nameOf(change.state)},
-              {"revision", std::to_string(change.revision)}});
-}
-
 void ControlDuty::announce(const VmId &vm, ConfigVersion version)
 {
-    m_membership.setConfigVersion(version);
-    perform(m_membership.announce(vm));
-}
-
-void ControlDuty::publishView()
-{
-    const MemberViewPtr view = m_membership.view();
-    m_metrics.membersAlive.Set(static_cast<double>(view->members.size()));
-    m_sinks.onMembers(view);
+    m_members.announce(vm, version);
 }
 
 void ControlDuty::updateReadiness()
 {
     const Clock::time_point now = Clock::now();
-    if (!m_hasJoined && m_membership.hasJoined(now)) {
+    if (!m_hasJoined && m_members.membership().hasJoined(now)) {
         m_hasJoined = true;
         m_joinedAt = now;
     }
     // The homes were given the document before this, hence answer for its shards.
     if (m_config.store().version() != 0)
-        perform(m_membership.startServing());
+        m_members.startServing();
     const bool isReady =
-        m_hasJoined && m_config.store().version() != 0 && !m_membership.isDoubtful();
+        m_hasJoined && m_config.store().version() != 0 && !m_members.membership().isDoubtful();
     if (m_isReady.exchange(isReady) != isReady)
         logEvent(LogLevel::Info, isReady ? "vm_ready" : "vm_not_ready",
-                 {{"doubtful", m_membership.isDoubtful() ? "true" : "false"}});
+                 {{"doubtful", m_members.membership().isDoubtful() ? "true" : "false"}});
 }
 
 void ControlDuty::updatePlan()
 {
     const ConfigStore &store = m_config.store();
-    const MemberView &view = *m_membership.view();
+    const MemberView &view = *m_members.membership().view();
     const bool hasConfig = store.version() != 0;
     const bool watches = isWatcher(view, m_self);
     const auto fallback = fallbackInterval(view, m_self);
@@ -235,7 +201,7 @@
     plan.after = store.newestChecked();
     plan.configInterval = fallback;
     plan.listInterval = watches ? WatcherListInterval : fallback;
-    if (!m_hasJoined || m_membership.isDoubtful())
+    if (!m_hasJoined || m_members.membership().isDoubtful())
         plan.listInterval = UrgentListInterval;
     m_platform.setPlan(plan);
 }
@@ -259,21 +225,13 @@
 
 std::string ControlDuty::stateJson() const
 {
-    Json members = Json::array();
-    for (const MemberRecord &record : m_membership.table())
-        members.push_back({{"vm", record.member.vm},
-                           {"failure_domain", record.member.failureDomain},
-                           {"state", nameOf(record.state)},
-                           {"starting", record.member.isStarting},
-                           {"revision", record.revision},
-                           {"incarnation", record.member.incarnation}});
     return Json{{"ready", isReady()},
                 {"joined", m_hasJoined},
-                {"doubtful", m_membership.isDoubtful()},
+                {"doubtful", m_members.membership().isDoubtful()},
                 {"leaving", m_isLeaving.load()},
-                {"watches_platform", isWatcher(*m_membership.view(), m_self)},
+                {"watches_platform", isWatcher(*m_members.membership().view(), m_self)},
                 {"config", m_config.stateJson()},
-                {"members", std::move(members)},
+                {"members", m_members.stateJson()},
                 {"ring", m_duty.ringSize()},
                 {"ring_rejected", m_duty.rejected()}}
         .dump();
--- a/src/duties/controlduty.h
+++ b/src/duties/controlduty.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <asio/basic_waitable_timer.hpp>
@@ -10,10 +11,9 @@
 #include "base/metrics.h"
 #include "config/settings.h"
 #include "duties/configexchange.h"
-#include "duties/heartbeatsocket.h"
+#include "duties/memberexchange.h"
 #include "duties/messages.h"
 #include "duties/platformwatcher.h"
-#include "mangoshift/membership.h"
 
 namespace mangoshift {
 
@@ -22,12 +22,13 @@
 {
     std::function<void(DocumentPtr)> onDocument;
     std::function<void(MemberViewPtr)> onMembers;
+    std::function<void(ConfigConfirmed)> onConfigConfirmed;
     std::function<void(const VmId &, FramePtr)> sendToVm;
     std::function<void(LinkId, FramePtr)> sendOnLink;
 };
 
-/// The duty that learns the configuration in force and the live VMs: it runs `Membership` and the
-/// `ConfigExchange` on heartbeats, frames and what the platform says.
+/// The duty that learns the configuration in force and the live VMs: it runs the `MemberExchange`
+/// and the `ConfigExchange` on heartbeats, frames and what the platform says.
 class ControlDuty
 {
 public:
@@ -50,13 +51,12 @@
     void handle(ControlMessage &message);
     void onFrame(ControlFrame &message);
     void onList(const PlatformList &message);
-    void onHeartbeat(const HeartbeatMessage &message);
+    void onHomesPaused(const HomesPaused &message);
+    void confirmConfig();
+    void onHeard(const HeartbeatMessage &message);
     void onTick();
     void armTick();
-    void perform(MembershipActions actions);
-    void logMemberState(const MemberStateChanged &change);
     void announce(const VmId &vm, ConfigVersion version);
-    void publishView();
     void updateReadiness();
     void updatePlan();
     void countFrame(const wire::FrameT &frame, prometheus::Counter &bytes);
@@ -69,11 +69,12 @@
     Metrics &m_metrics;
     Duty<ControlMessage> m_duty;
     asio::basic_waitable_timer<Clock> m_tick;
-    HeartbeatSocket m_heartbeats;
-    Membership m_membership;
+    MemberExchange m_members;
     ConfigExchange m_config;
     prometheus::Counter &m_bytesIn;
     prometheus::Counter &m_bytesOut;
+    /// Set while the homes wait to hear that the configuration in force is the newest.
+    std::optional<HomesPaused> m_unconfirmed;
     bool m_hasJoined = false;
     Clock::time_point m_joinedAt;
     std::atomic<bool> m_isReady{false};
--- a/src/duties/homeduty.cpp
+++ b/src/duties/homeduty.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "duties/targetprotocol.h"
+#include "mangoshift/membership.h"
 #include "mangoshift/replyhold.h"
 
 namespace mangoshift {
@@ -18,6 +19,13 @@
 constexpr std::chrono::milliseconds HealthTimeout{1000};
 constexpr int HealthyStatus = 200;
 constexpr std::size_t RingCapacity = 65536;
+constexpr std::chrono::milliseconds PauseCheckInterval{100};
+/// A gap from which this process counts as paused: several times what a busy machine holds a thread
+/// up for, and below the seconds within which a removed target is to be left alone.
+constexpr std::chrono::milliseconds PauseLimit{800};
+/// For how long a VM that reaches nobody keeps its homes shut: the time for which it doubts its
+/// view of the members.
+constexpr std::chrono::milliseconds ConfirmPatience = MembershipOptions().doubtPatience;
 
 std::shared_ptr<const RequestBody> bodyOf(wire::ShardBatchT &batch)
 {
@@ -65,10 +73,12 @@
 
 } // namespace
 
-HomeDuty::HomeDuty(Options options, ReplySink send)
+HomeDuty::HomeDuty(Options options, ReplySink send, PauseSink onPaused)
     : m_options(std::move(options))
     , m_send(std::move(send))
+    , m_onPaused(std::move(onPaused))
     , m_duty("homes", RingCapacity)
+    , m_pauseTimer(m_duty.io())
     , m_timer(m_duty.io())
     , m_healthTimer(m_duty.io())
     , m_scheduler(m_options.scheduler)
@@ -84,6 +94,8 @@
 
 void HomeDuty::start()
 {
+    m_lastActive = Clock::now();
+    watchForPauses();
     checkDrainingTargets();
     m_duty.start([this](HomeMessage &message) { handle(message); });
 }
@@ -95,18 +107,63 @@
 
 void HomeDuty::handle(HomeMessage &message)
 {
+    noticePause();
     std::visit(Overloaded{
                    [this](HomeBatch &each) { onBatch(each); },
                    [this](HomeCancel &each) { onCancel(each); },
                    [this](LinkLost &each) { onLinkLost(each.link); },
                    [this](DocumentChanged &each) { onDocument(std::move(each.document)); },
                    [this](MembersChanged &each) { onMembers(*each.members); },
+                   [this](ConfigConfirmed &each) { onConfigConfirmed(each); },
                    [this](StateRequest &each) { each.reply(stateJson()); },
                },
                message);
     countPending();
 }
 
+/// Shuts the homes where the process was paused since this duty last ran. Returns the time.
+Clock::time_point HomeDuty::noticePause()
+{
+    const Clock::time_point now = Clock::now();
+    const Clock::duration gap = now - std::exchange(m_lastActive, now);
+    if (gap < PauseLimit || !m_document)
+        return now;
+    m_wokeAt = now;
+    logEvent(LogLevel::Warning, "homes_suspended",
+             {{"paused_ms",
+               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(gap).count())},
+              {"config_version", std::to_string(m_document->document().version)}});
+    m_onPaused({now});
+    perform(m_scheduler.suspend(now));
+    return now;
+}
+
+void HomeDuty::watchForPauses()
+{
+    const Clock::time_point now = noticePause();
+    if (m_wokeAt && now >= *m_wokeAt + ConfirmPatience)
+        resume("nobody reached");
+    m_pauseTimer.expires_at(now + PauseCheckInterval);
+    m_pauseTimer.async_wait([this](asio::error_code error) {
+        if (!error)
+            watchForPauses();
+    });
+}
+
+void HomeDuty::onConfigConfirmed(const ConfigConfirmed &message)
+{
+    if (m_wokeAt == message.wokeAt)
+        resume("configuration confirmed");
+}
+
+void HomeDuty::resume(const char *why)
+{
+    m_wokeAt.reset();
+    logEvent(LogLevel::Info, "homes_resumed",
+             {{"why", why}, {"config_version", std::to_string(m_document->document().version)}});
+    perform(m_scheduler.resume(Clock::now()));
+}
+
 void HomeDuty::countPending()
 {
     m_pending = m_askers.size() + m_replies.size();
@@ -245,7 +302,8 @@
         m_calls.erase(call);
         if (!m_removedPools.empty())
             scheduleClosing();
-        perform(m_scheduler.onCallEnded(call, toCallOutcome(result), Clock::now()));
+        const Clock::time_point now = noticePause();
+        perform(m_scheduler.onCallEnded(call, toCallOutcome(result), now));
     });
 }
 
@@ -283,7 +341,7 @@
     m_timer.expires_at(at);
     m_timer.async_wait([this](asio::error_code error) {
         if (!error)
-            perform(m_scheduler.onTimer(Clock::now()));
+            perform(m_scheduler.onTimer(noticePause()));
     });
 }
 
--- a/src/duties/homeduty.h
+++ b/src/duties/homeduty.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -42,8 +43,10 @@
 
     /// `send` takes replies: to the query duty for `LocalLink`, else to the link.
     using ReplySink = std::function<void(LinkId, wire::ShardRepliesT)>;
+    /// Takes that the process was paused; to be answered by `ConfigConfirmed`.
+    using PauseSink = std::function<void(HomesPaused)>;
 
-    HomeDuty(Options options, ReplySink send);
+    HomeDuty(Options options, ReplySink send, PauseSink onPaused);
     ~HomeDuty();
     HomeDuty(const HomeDuty &) = delete;
     HomeDuty &operator=(const HomeDuty &) = delete;
@@ -72,6 +75,10 @@
     };
 
     void handle(HomeMessage &message);
+    Clock::time_point noticePause();
+    void watchForPauses();
+    void onConfigConfirmed(const ConfigConfirmed &message);
+    void resume(const char *why);
     void onBatch(HomeBatch &message);
     void onCancel(const HomeCancel &message);
     void onLinkLost(LinkId link);
@@ -99,7 +106,13 @@
 
     Options m_options;
     ReplySink m_send;
+    PauseSink m_onPaused;
     Duty<HomeMessage> m_duty;
+    asio::basic_waitable_timer<Clock> m_pauseTimer;
+    /// When this duty last ran.
+    Clock::time_point m_lastActive = Clock::now();
+    /// When the process woke; set until its configuration is confirmed.
+    std::optional<Clock::time_point> m_wokeAt;
     asio::basic_waitable_timer<Clock> m_timer;
     asio::basic_waitable_timer<Clock> m_healthTimer;
     std::uint64_t m_lastHealthCheck = 0;
--- a/src/duties/messages.h
+++ b/src/duties/messages.h
@@ -123,6 +123,18 @@
     Clock::time_point askedAt;
 };
 
+/// Says that this process was paused until `wokeAt`: what it knows may be out of date.
+struct HomesPaused
+{
+    Clock::time_point wokeAt;
+};
+
+/// Says that the configuration in force is the newest that others knew of after `wokeAt`.
+struct ConfigConfirmed
+{
+    Clock::time_point wokeAt;
+};
+
 /// Tells the other VMs that this one leaves.
 struct StartLeaving
 {
@@ -130,10 +142,11 @@
 
 using QueryMessage =
     std::variant<CallerQuery, PeerReplies, PeerLost, DocumentChanged, MembersChanged, StateRequest>;
-using HomeMessage =
-    std::variant<HomeBatch, HomeCancel, LinkLost, DocumentChanged, MembersChanged, StateRequest>;
+using HomeMessage = std::variant<HomeBatch, HomeCancel, LinkLost, DocumentChanged, MembersChanged,
+                                 ConfigConfirmed, StateRequest>;
 using PeerMessage = std::variant<SendToVm, SendOnLink, MembersChanged, StateRequest>;
-using ControlMessage =
-    std::variant<ControlFrame, PlatformDocument, PlatformList, StartLeaving, StateRequest>;
+using ControlMessage = std::variant<ControlFrame, PlatformDocument, PlatformList, HomesPaused,
+                                    StartLeaving, StateRequest>;
+using RegistryMessage = std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, StartLeaving>;
 
 } // namespace mangoshift
--- a/src/duties/peerduty.cpp
+++ b/src/duties/peerduty.cpp
@@ -31,14 +31,6 @@
     frame.deadline_us = static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 0));
 }
 
-/// Stamps a frame that its sender has not stamped.
-void stamp(wire::FrameT &frame)
-{
-    wire::ShardBatchT *batch = frame.body.AsShardBatch();
-    if (batch != nullptr && batch->sent_at_us == 0)
-        batch->sent_at_us = wireTimeNow();
-}
-
 /// Returns the exchange that a frame asks for, or zero where it asks for none.
 ExchangeId exchangeOf(const wire::FrameT &frame)
 {
@@ -115,7 +107,6 @@
         m_sinks.onPeerLost(message.vm);
         return;
     }
-    stamp(*message.frame);
     if (link->send(*message.frame)) {
         if (exchange != 0)
             link->noteExchange(exchange);
@@ -193,7 +184,8 @@
     });
 }
 
-void PeerDuty::takeOffDelay(const VmId &vm, std::uint64_t incarnation, wire::FrameT &frame)
+void PeerDuty::takeOffDelay(const VmId &vm, std::uint64_t incarnation, wire::FrameT &frame,
+                            Clock::time_point arrivedAt)
 {
     wire::ShardBatchT *batch = frame.body.AsShardBatch();
     wire::TicketRequestT *request = frame.body.AsTicketRequest();
@@ -202,9 +194,9 @@
         return;
     TransitDelay &delay = transitOf(vm, incarnation);
     if (batch != nullptr)
-        shortenDeadline(*batch, delay, Clock::now());
+        shortenDeadline(*batch, delay, arrivedAt);
     else
-        shortenDeadline(*request, delay, Clock::now());
+        shortenDeadline(*request, delay, arrivedAt);
 }
 
 bool PeerDuty::knowsClock(const VmId &vm, std::uint64_t incarnation) const
--- a/src/duties/peerduty.h
+++ b/src/duties/peerduty.h
@@ -64,7 +64,8 @@
     void onRoundTrip(const VmId &vm, std::uint64_t incarnation, Clock::time_point askedAt,
                      std::chrono::microseconds answeredAt);
     TransitDelay &transitOf(const VmId &vm, std::uint64_t incarnation);
-    void takeOffDelay(const VmId &vm, std::uint64_t incarnation, wire::FrameT &frame);
+    void takeOffDelay(const VmId &vm, std::uint64_t incarnation, wire::FrameT &frame,
+                      Clock::time_point arrivedAt);
     std::string stateJson() const;
 
     Member m_self;
--- a/src/duties/peerlink.cpp
+++ b/src/duties/peerlink.cpp
@@ -138,7 +138,7 @@
     } else if (const wire::PingT *ping = frame->body.AsPing()) {
         wire::PongT pong;
         pong.sequence = ping->sequence;
-        pong.sent_at_us = wireTimeNow();
+        pong.sent_at_us = toWireTime(Clock::now());
         send(*makeFrame(pong));
     } else if (const wire::PongT *pong = frame->body.AsPong()) {
         onPong(*pong);
@@ -153,8 +153,10 @@
 
 void PeerLink::deliver(FramePtr frame)
 {
-    m_owner.takeOffDelay(m_vm, m_incarnation, *frame);
-    m_owner.m_sinks.onFrame(m_id, std::move(frame), Clock::now());
+    // One reading for both: the process may be paused between two.
+    const Clock::time_point arrivedAt = Clock::now();
+    m_owner.takeOffDelay(m_vm, m_incarnation, *frame, arrivedAt);
+    m_owner.m_sinks.onFrame(m_id, std::move(frame), arrivedAt);
 }
 
 void PeerLink::onPong(const wire::PongT &pong)
--- a/src/duties/queryduty.cpp
+++ b/src/duties/queryduty.cpp
@@ -6,6 +6,8 @@
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "duties/wiretime.h"
+
 namespace mangoshift {
 
 namespace {
@@ -217,14 +219,13 @@
     RunningQuery &query = *m_queries.at(id);
     const RequestBody &body = *query.caller.body;
     const Clock::time_point now = Clock::now();
-    const auto left =
-        std::chrono::duration_cast<std::chrono::microseconds>(query.machine.plan().deadline - now);
     wire::ShardBatchT batch;
     batch.exchange = action.exchange;
     batch.service = body.service;
     batch.failure_domain = action.failureDomain;
     batch.snapshot = action.snapshot;
-    batch.deadline_us = static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 0));
+    batch.sent_at_us = toWireTime(now);
+    batch.deadline_us = toWireTimeLeft(query.machine.plan().deadline, now);
     batch.priority = body.priority;
     batch.idempotent = body.isIdempotent;
     batch.request_id = body.requestId;
--- a/src/duties/ticketduty.cpp
+++ b/src/duties/ticketduty.cpp
@@ -150,7 +150,7 @@
             ticketReplyFrame(exchange, outcomeOf({Execution::MayHaveRun, Reason::UnknownTicket})));
         return;
     }
-    submit(submissionFrom(message.request, std::move(*ticket)),
+    submit(submissionFrom(message.request, std::move(*ticket), message.arrivedAt),
            [this, link, exchange](TicketOutcome outcome) {
                m_sendOnLink(link, ticketReplyFrame(exchange, std::move(outcome)));
            });
--- a/src/duties/ticketduty.h
+++ b/src/duties/ticketduty.h
@@ -41,6 +41,8 @@
 struct PeerTicketRequest
 {
     LinkId link = LocalLink;
+    /// From when the request's time left counts.
+    Clock::time_point arrivedAt;
     wire::TicketRequestT request;
 };
 
--- a/src/duties/ticketwire.cpp
+++ b/src/duties/ticketwire.cpp
@@ -11,13 +11,6 @@
 
 namespace {
 
-std::uint32_t microsecondsLeft(Clock::time_point deadline)
-{
-    const auto left =
-        std::chrono::duration_cast<std::chrono::microseconds>(deadline - Clock::now());
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 0));
-}
-
 Verdict verdictFrom(std::uint8_t execution, std::uint8_t reason, std::uint32_t retryAfterMs)
 {
     if (execution > static_cast<std::uint8_t>(Execution::Ran)
@@ -31,20 +24,22 @@
 
 FramePtr ticketRequestFrame(ExchangeId exchange, const SubmissionRequest &request)
 {
+    const Clock::time_point now = Clock::now();
     wire::TicketRequestT wire;
     wire.exchange = exchange;
     wire.ticket = formatTicket(request.ticket);
     wire.service = request.body->service;
     wire.shard_key = request.shardKey;
-    wire.sent_at_us = wireTimeNow();
-    wire.deadline_us = microsecondsLeft(request.deadline);
+    wire.sent_at_us = toWireTime(now);
+    wire.deadline_us = toWireTimeLeft(request.deadline, now);
     wire.request_id = request.body->requestId;
     wire.traceparent = request.body->traceparent;
     wire.body = request.body->body;
     return makeFrame(std::move(wire));
 }
 
-SubmissionRequest submissionFrom(wire::TicketRequestT &wire, Ticket ticket)
+SubmissionRequest submissionFrom(wire::TicketRequestT &wire, Ticket ticket,
+                                 Clock::time_point arrivedAt)
 {
     auto body = std::make_shared<RequestBody>();
     body->requestId = std::move(wire.request_id);
@@ -53,7 +48,7 @@
     body->body = std::move(wire.body);
     body->isIdempotent = false;
     return {std::move(ticket), std::move(wire.shard_key), std::move(body),
-            Clock::now() + std::chrono::microseconds(wire.deadline_us)};
+            arrivedAt + std::chrono::microseconds(wire.deadline_us)};
 }
 
 FramePtr ticketReplyFrame(ExchangeId exchange, TicketOutcome outcome)
@@ -70,12 +65,13 @@
 FramePtr submissionFrame(const SendSubmission &action, const SubmissionRequest &request)
 {
     const RequestBody &body = *request.body;
+    const Clock::time_point now = Clock::now();
     wire::ShardBatchT batch;
     batch.exchange = action.exchange;
     batch.service = body.service;
     batch.failure_domain = action.failureDomain;
-    batch.sent_at_us = wireTimeNow();
-    batch.deadline_us = static_cast<std::uint32_t>(action.timeLeft.count());
+    batch.sent_at_us = toWireTime(now);
+    batch.deadline_us = toWireTimeLeft(action.deadline, now);
     batch.priority = body.priority;
     batch.idempotent = false;
     batch.request_id = body.requestId;
--- a/src/duties/ticketwire.h
+++ b/src/duties/ticketwire.h
@@ -22,8 +22,9 @@
 
 /// Packs a submission that goes to the issuer of its ticket.
 FramePtr ticketRequestFrame(ExchangeId exchange, const SubmissionRequest &request);
-/// Reads what another VM passed on; its deadline counts from now.
-SubmissionRequest submissionFrom(wire::TicketRequestT &wire, Ticket ticket);
+/// Reads what another VM passed on; its time left counts from `arrivedAt`.
+SubmissionRequest submissionFrom(wire::TicketRequestT &wire, Ticket ticket,
+                                 Clock::time_point arrivedAt);
 FramePtr ticketReplyFrame(ExchangeId exchange, TicketOutcome outcome);
 /// Packs a submission that goes to the home of its shard.
 FramePtr submissionFrame(const SendSubmission &action, const SubmissionRequest &request);
--- a/test/unit/slotscheduler_doubt_test.cpp
+++ b/test/unit/slotscheduler_doubt_test.cpp
@@ -145,3 +145,45 @@
         CHECK(bench.scheduler.counters().retries == 1);
     }
 }
+
+TEST_CASE("A home whose process was paused sends nothing until it is resumed")
+{
+    Bench bench(1, 1);
+    const ShardRequestId sentBefore = bench.ask();
+    const CallId inFlight = bench.sent.at(0).call;
+    const ShardRequestId waiting = bench.ask();
+    bench.take(bench.scheduler.suspend(bench.now));
+
+    SECTION("what waited for a slot is refused as not run, what was sent goes on")
+    {
+        REQUIRE(bench.replies.size() == 1);
+        CHECK(bench.replies[0].request == waiting);
+        CHECK(bench.replies[0].outcome.verdict.execution == Execution::NotRun);
+        CHECK(bench.replies[0].outcome.verdict.reason == Reason::NotReady);
+        bench.end(inFlight, Answered);
+        REQUIRE(bench.replies.size() == 1);
+        CHECK(bench.replies[0].request == sentBefore);
+        CHECK(bench.replies[0].outcome.verdict.isOk());
+    }
+
+    SECTION("what comes is refused as not run")
+    {
+        bench.ask();
+        CHECK(bench.sent.empty());
+        REQUIRE(bench.replies.size() == 1);
+        CHECK(bench.replies[0].outcome.verdict.reason == Reason::NotReady);
+    }
+}
+
+TEST_CASE("A call that fails while its home is suspended is tried again after it")
+{
+    Bench bench(2, 1);
+    bench.ask();
+    const SendToTarget first = bench.sent.at(0);
+    bench.take(bench.scheduler.suspend(bench.now));
+    bench.end(first.call, Unreachable);
+    CHECK(bench.sent.empty());
+    bench.take(bench.scheduler.resume(bench.now));
+    REQUIRE(bench.sent.size() == 1);
+    CHECK(bench.sent[0].target == 1 - first.target);
+}
--- /dev/null
+++ b/test/unit/ticketduty_test.cpp
@@ -0,0 +1,109 @@
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "duties/ticketduty.h"
+
+using namespace mangoshift;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds TimeLeft{200};
+
+DocumentPtr oneBookingShard()
+{
+    Document document;
+    document.kinds = {{"booking", 0, false}};
+    document.targets = {{"t", "127.0.0.1:1", "a", 1, 1}};
+    Service service;
+    service.name = "booking";
+    service.shards = {{"0", shardKey("booking", "0"), {0}}};
+    document.services = {service};
+    return std::make_shared<IndexedDocument>(std::move(document));
+}
+
+/// A ticket duty whose thread is held up on request, as it is in a process that is paused.
+class HeldUpDuty
+{
+public:
+    HeldUpDuty()
+        : m_duty(
+            Member{"self", "a", "r", "", 1, false}, {RendezvousHomes{}},
+            [this](const VmId &, const FramePtr &) {
+                ++m_sentToHomes;
+                return false;
+            },
+            [this](LinkId, const FramePtr &frame) {
+                m_reply.set_value(*frame->body.AsTicketReply());
+            })
+    {
+        m_duty.start();
+        m_duty.tryPost(DocumentChanged{oneBookingShard()});
+        m_duty.tryPost(MembersChanged{
+            std::make_shared<MemberView>(MemberView{1, {Member{"self", "a", "r", "", 1, false}}})});
+        m_duty.tryPost(IssueTickets{1, [this](auto tickets) { m_ticket.set_value(*tickets); }});
+    }
+    ~HeldUpDuty() { m_duty.stop(); }
+    HeldUpDuty(const HeldUpDuty &) = delete;
+    HeldUpDuty &operator=(const HeldUpDuty &) = delete;
+
+    void holdUp()
+    {
+        m_duty.tryPost(
+            StateRequest{[this](const std::string &) { m_release.get_future().wait(); }});
+    }
+    void release() { m_release.set_value(); }
+
+    /// Hands over another VM's submission, which arrives now.
+    void submit()
+    {
+        wire::TicketRequestT request;
+        request.exchange = 1;
+        request.ticket = m_ticket.get_future().get().front();
+        request.service = "booking";
+        request.deadline_us = static_cast<std::uint32_t>(microseconds(TimeLeft).count());
+        m_duty.tryPost(PeerTicketRequest{7, Clock::now(), std::move(request)});
+    }
+
+    wire::TicketReplyT reply() { return m_reply.get_future().get(); }
+    /// To be asked once the reply is there.
+    int sentToHomes() const { return m_sentToHomes; }
+
+private:
+    std::promise<std::vector<std::string>> m_ticket;
+    std::promise<void> m_release;
+    std::promise<wire::TicketReplyT> m_reply;
+    int m_sentToHomes = 0;
+    TicketDuty m_duty;
+};
+
+} // namespace
+
+TEST_CASE("A submission that another VM passed on keeps the deadline that it arrived with")
+{
+    GIVEN("a process that is paused between the arrival and the work on it")
+    {
+        PausedClock clock;
+        HeldUpDuty duty;
+        duty.holdUp();
+        duty.submit();
+        clock.advance(seconds(1));
+        duty.release();
+
+        SECTION("it is answered as not run and goes to no home")
+        {
+            const wire::TicketReplyT reply = duty.reply();
+            CHECK(reply.execution == static_cast<std::uint8_t>(Execution::NotRun));
+            CHECK(reply.reason == static_cast<std::uint8_t>(Reason::DeadlineExceeded));
+            CHECK(duty.sentToHomes() == 0);
+        }
+    }
+}
