--- a/include/mangoshift/retryshare.h
+++ b/include/mangoshift/retryshare.h
@@ -16,7 +16,7 @@
     double ratio = 0.0;
     /// Extra requests within one window beyond those, of all VMs together.
     double slack = 0.0;
-    std::chrono::seconds window{10};
+    std::chrono::milliseconds window{std::chrono::seconds(10)};
 };
 
 /// One VM's share of a service's budget for extra requests.
@@ -35,6 +35,8 @@
     /// of VMs that may be alive.
     RetryShare(RetryBudgetTerms terms, double slackShare);
 
+    /// Takes in that there are more or fewer VMs.
+    void setSlackShare(double slackShare) { m_slackShare = slackShare; }
     void onFirst(Clock::time_point now);
     /// Counts one extra request. Returns false, and counts nothing, where the share is spent.
     bool trySpend(Clock::time_point now);
--- a/include/mangoshift/storefollower.h
+++ b/include/mangoshift/storefollower.h
@@ -45,6 +45,9 @@
     /// Takes in that a request failed or was refused.
     StoreStep onFailure();
     StoreStep onWaited() const;
+    /// Takes in that the state was learnt elsewhere up to a revision. The store is listed anew when
+    /// it is next asked: whether it still holds the changes since is not known.
+    void skipTo(std::uint64_t revision);
 
     /// Returns true once, after an answer that followed a failure.
     bool takeIsBack();
--- a/include/mangoshift/targetregistry.h
+++ b/include/mangoshift/targetregistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -69,7 +70,13 @@
     std::vector<RegistryChange> replaceAll(const std::vector<RegisteredTarget> &targets,
                                            Clock::time_point now);
     /// Takes in that the store answers again after an outage.
-    void onStoreBack(Clock::time_point now);
+    void onStoreBack(Clock::time_point now) { holdRemovals(now + m_returnGrace); }
+    /// Lets removals wait until then, if they do not wait for longer.
+    void holdRemovals(Clock::time_point until) { m_heldUntil = std::max(m_heldUntil, until); }
+    /// Returns until when removals wait; an instant that has passed where they do not.
+    Clock::time_point removalsHeldUntil() const { return m_heldUntil; }
+    /// Returns whether an entry is gone whose removal waits.
+    bool isRemovalHeld(const TargetId &id) const { return m_held.contains(id); }
     /// Carries out the removals whose time has come.
     std::vector<RegistryChange> expire(Clock::time_point now);
 
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -57,6 +57,8 @@
                        .Help("Time from receipt to answer")
                        .Register(*m_registry))
     , storeReads(counters(*m_registry, "mangoshift_store_reads_total", "Reads of the store"))
+    , peerReads(counters(*m_registry, "mangoshift_peer_reads_total",
+                         "Questions to other VMs for the state of the store"))
     , storeSeconds(prometheus::BuildHistogram()
                        .Name("mangoshift_store_read_duration_seconds")
                        .Help("Time from asking the store to its answer")
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -59,6 +59,8 @@
     prometheus::Family<prometheus::Histogram> &entrySeconds;
     /// Reads of the store, by `outcome` (`ok`, `refused`, `failed`, `history_gone`).
     prometheus::Family<prometheus::Counter> &storeReads;
+    /// Questions to other VMs for the state of the store, by `outcome` (`ok`, `failed`).
+    prometheus::Family<prometheus::Counter> &peerReads;
     /// From asking the store to its answer, watches included, in seconds.
     prometheus::Histogram &storeSeconds;
 };
--- /dev/null
+++ b/src/core/retrypool.cpp
@@ -0,0 +1,56 @@
+#include "mangoshift/retrypool.h"
+
+#include "mangoshift/placement.h"
+
+namespace mangoshift {
+
+VmId poolKeeper(const MemberView &view, const Member &self)
+{
+    const ShardKey key = shardKey("retry-pool", self.failureDomain);
+    VmId keeper = self.vm;
+    std::uint64_t best = rendezvousWeight(key, self.vm);
+    for (const Member &member : view.members) {
+        const std::uint64_t weight = rendezvousWeight(key, member.vm);
+        if (member.failureDomain != self.failureDomain || member.isLeaving || weight <= best)
+            continue;
+        keeper = member.vm;
+        best = weight;
+    }
+    return keeper;
+}
+
+RetryPool::RetryPool(const RetryBudgetTerms &terms)
+    : m_terms(terms)
+{
+    // Only slack is pooled, and a grant may be used until its life ends.
+    m_terms.ratio = 0.0;
+    m_terms.window += GrantLife;
+}
+
+void RetryPool::setKeeper(bool isSelf, Clock::time_point now)
+{
+    if (isSelf && !m_isKeeper)
+        m_grantsFrom = now + m_terms.window;
+    m_isKeeper = isSelf;
+}
+
+void RetryPool::setSlackShare(double slackShare)
+{
+    m_slackShare = slackShare;
+    for (auto &[service, share] : m_services)
+        share.setSlackShare(slackShare);
+}
+
+std::uint32_t RetryPool::grant(const std::string &service, std::uint32_t wanted,
+                               Clock::time_point now)
+{
+    if (!m_isKeeper || now < m_grantsFrom)
+        return 0;
+    RetryShare &share = m_services.try_emplace(service, m_terms, m_slackShare).first->second;
+    std::uint32_t granted = 0;
+    while (granted < wanted && share.trySpend(now))
+        ++granted;
+    return granted;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/core/sourcepicker.cpp
@@ -0,0 +1,167 @@
+#include "mangoshift/sourcepicker.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "mangoshift/placement.h"
+
+namespace mangoshift {
+
+namespace {
+
+/// Watchers of each failure domain: two may be lost within the second that it takes to notice.
+constexpr std::size_t Watchers = 3;
+/// How long a starting VM asks other VMs alone: the 0.3 s within which the VMs of a fleet start.
+constexpr std::chrono::milliseconds JoinTime{300};
+/// How long a store that has failed is left alone while a peer answers from fresh knowledge: a
+/// question that gets no answer holds up news from peers for over a second.
+constexpr std::chrono::milliseconds StoreRest{2000};
+
+} // namespace
+
+SourcePicker::SourcePicker(Member self, std::vector<std::string> seeds, Clock::time_point startedAt)
+    : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_startedAt(startedAt)
+    , m_members(std::make_shared<MemberView>())
+{
+}
+
+bool SourcePicker::isSeed(const Member &member) const
+{
+    return std::find(m_seeds.begin(), m_seeds.end(), member.peerAddress) != m_seeds.end();
+}
+
+bool SourcePicker::isJoining(Clock::time_point now) const
+{
+    // Where all VMs start at once, the seeds read the store and the others ask them.
+    return hasPeers() && !m_hasState && !isSeed(m_self) && now < m_startedAt + JoinTime;
+}
+
+std::vector<const Member *> SourcePicker::domainByRank(const std::string &domain) const
+{
+    const ShardKey key = shardKey("store-watch", domain);
+    std::vector<const Member *> ranked;
+    bool hasSelf = false;
+    for (const Member &member : m_members->members) {
+        hasSelf |= member.vm == m_self.vm;
+        if (member.failureDomain == domain && !member.isLeaving)
+            ranked.push_back(&member);
+    }
+    if (!hasSelf && domain == m_self.failureDomain)
+        ranked.push_back(&m_self);
+    std::sort(ranked.begin(), ranked.end(), [key](const Member *a, const Member *b) {
+        return rendezvousWeight(key, a->vm) > rendezvousWeight(key, b->vm);
+    });
+    return ranked;
+}
+
+bool SourcePicker::isWatcher() const
+{
+    const auto ranked = domainByRank(m_self.failureDomain);
+    const auto end =
+        ranked.begin() + static_cast<std::ptrdiff_t>(std::min(Watchers, ranked.size()));
+    return std::any_of(ranked.begin(), end,
+                       [this](const Member *each) { return each->vm == m_self.vm; });
+}
+
+bool SourcePicker::hasFollowers() const
+{
+    return domainByRank(m_self.failureDomain).size() > Watchers;
+}
+
+std::vector<StoreSource> SourcePicker::firstSources(Clock::time_point now) const
+{
+    std::vector<StoreSource> first;
+    const auto add = [&](auto isWanted) {
+        for (const Member &member : m_members->members)
+            if (member.vm != m_self.vm && isWanted(member))
+                first.emplace_back(FromPeer{member.vm});
+    };
+    // What others know is there at once; the store may be away, and answers in many pages.
+    add([](const Member &member) { return !member.isStarting; });
+    if (isJoining(now))
+        add([this](const Member &member) { return member.isStarting && isSeed(member); });
+    return first;
+}
+
+std::vector<StoreSource> SourcePicker::sources(Clock::time_point now) const
+{
+    if (!hasPeers())
+        return {FromStore{}};
+    std::vector<StoreSource> sources;
+    if (!m_hasState)
+        sources = firstSources(now);
+    if (isJoining(now))
+        return sources;
+    const auto addWatchers = [&](const std::string &domain) {
+        const std::vector<const Member *> ranked = domainByRank(domain);
+        for (std::size_t i = 0; i < std::min(Watchers, ranked.size()); ++i)
+            if (ranked[i]->vm != m_self.vm)
+                sources.emplace_back(FromPeer{ranked[i]->vm});
+    };
+    const bool watches = isWatcher() || (!m_hasState && isSeed(m_self));
+    if (watches)
+        sources.emplace_back(FromStore{});
+    addWatchers(m_self.failureDomain);
+    if (!watches)
+        sources.emplace_back(FromStore{});
+    std::set<std::string> others;
+    for (const Member &member : m_members->members)
+        if (member.failureDomain != m_self.failureDomain)
+            others.insert(member.failureDomain);
+    for (const std::string &domain : others)
+        addWatchers(domain);
+    return sources;
+}
+
+Clock::time_point SourcePicker::avoidedUntil(const StoreSource &source) const
+{
+    const auto *peer = std::get_if<FromPeer>(&source);
+    if (peer == nullptr)
+        return m_storeAvoidedUntil;
+    const auto it = m_peersAvoidedUntil.find(peer->vm);
+    return it == m_peersAvoidedUntil.end() ? Clock::time_point{} : it->second;
+}
+
+std::optional<StoreSource> SourcePicker::pick(Clock::time_point now) const
+{
+    for (const StoreSource &source : sources(now))
+        if (avoidedUntil(source) <= now)
+            return source;
+    return std::nullopt;
+}
+
+Clock::time_point SourcePicker::retryAt(Clock::time_point now) const
+{
+    Clock::time_point next = isJoining(now) ? m_startedAt + JoinTime : Clock::time_point::max();
+    for (const StoreSource &source : sources(now))
+        next = std::min(next, std::max(avoidedUntil(source), now));
+    return next;
+}
+
+void SourcePicker::onAnswered(const StoreSource &source, Clock::time_point now)
+{
+    if (const auto *peer = std::get_if<FromPeer>(&source)) {
+        m_peersAvoidedUntil.erase(peer->vm);
+        if (m_hasStoreFailed)
+            m_storeAvoidedUntil = std::max(m_storeAvoidedUntil, now + StoreRest);
+        m_hasStoreFailed = false;
+    } else {
+        m_storeAvoidedUntil = {};
+        m_hasStoreFailed = false;
+    }
+}
+
+void SourcePicker::onFailed(const StoreSource &source, Clock::time_point retryAt)
+{
+    if (const auto *peer = std::get_if<FromPeer>(&source)) {
+        m_peersAvoidedUntil[peer->vm] = retryAt;
+        return;
+    }
+    m_storeAvoidedUntil = retryAt;
+    m_hasStoreFailed = true;
+}
+
+} // namespace mangoshift
--- a/src/core/storefollower.cpp
+++ b/src/core/storefollower.cpp
@@ -83,6 +83,13 @@
     return next();
 }
 
+void StoreFollower::skipTo(std::uint64_t revision)
+{
+    m_revision = std::max(m_revision, revision);
+    m_isListing = true;
+    m_afterKey.clear();
+}
+
 bool StoreFollower::takeIsBack()
 {
     return std::exchange(m_isBack, false);
--- a/src/core/targetregistry.cpp
+++ b/src/core/targetregistry.cpp
@@ -74,11 +74,6 @@
     return changes;
 }
 
-void TargetRegistry::onStoreBack(Clock::time_point now)
-{
-    m_heldUntil = now + m_returnGrace;
-}
-
 std::vector<RegistryChange> TargetRegistry::expire(Clock::time_point now)
 {
     if (m_held.empty() || now < m_heldUntil)
--- a/src/duties/messages.h
+++ b/src/duties/messages.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "mangoshift/clock.h"
 #include "mangoshift/document.h"
@@ -135,6 +138,23 @@
     Clock::time_point wokeAt;
 };
 
+/// How many extra requests to the targets of each service.
+using BudgetCounts = std::vector<std::pair<std::string, std::uint32_t>>;
+
+/// Asks the pool of this VM's failure domain for extra requests.
+struct BudgetQuestion
+{
+    std::uint64_t sequence = 0;
+    BudgetCounts wanted;
+};
+
+/// What the pool grants of a question of that sequence number.
+struct BudgetGrants
+{
+    std::uint64_t sequence = 0;
+    BudgetCounts counts;
+};
+
 /// Tells the other VMs that this one leaves.
 struct StartLeaving
 {
@@ -147,6 +167,7 @@
 using PeerMessage = std::variant<SendToVm, SendOnLink, MembersChanged, StateRequest>;
 using ControlMessage = std::variant<ControlFrame, PlatformDocument, PlatformList, HomesPaused,
                                     StartLeaving, StateRequest>;
-using RegistryMessage = std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, StartLeaving>;
+using RegistryMessage =
+    std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, BudgetQuestion, StartLeaving>;
 
 } // namespace mangoshift
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics)
+EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
+                     RetryBudgets::AskPool askPool)
     : m_settings(settings)
     , m_adapter(adapter)
     , m_duty("entry", RingCapacity)
@@ -32,9 +33,10 @@
               m_settings,
               adapter,
               metrics,
-              TargetDirectory(m_duty.io(), adapter.headers.target, settings.vmsAtMost),
+              TargetDirectory(m_duty.io(), adapter.headers.target, settings.assumedVms),
               {},
-              {}}
+              RetryBudgets(m_duty.io(), settings.retryBudget, settings.assumedVms,
+                           std::move(askPool))}
     , m_filters(adapter.headers)
     , m_callers(m_duty.io(), settings.maxCallerConnections, callerEvents())
     , m_balancer(m_duty.io(), MaxBalancerConnections, readyEvents())
@@ -83,6 +85,16 @@
     post(TargetsChanged{std::move(changes)});
 }
 
+void EntryDuty::setFleetSize(std::size_t vms)
+{
+    post(FleetSize{vms});
+}
+
+void EntryDuty::onBudgetGrants(BudgetGrants grants)
+{
+    post(std::move(grants));
+}
+
 void EntryDuty::setListed()
 {
     post(Listed{});
@@ -110,6 +122,8 @@
                               m_hasListed = true;
                               updateReady();
                           },
+                          [this](FleetSize &fleet) { m_state.growFleet(fleet.vms); },
+                          [this](BudgetGrants &grants) { m_state.budgets.onGrants(grants); },
                           [this](Leave &leave) {
                               m_isLeaving = true;
                               m_leavingSince = Clock::now();
@@ -227,6 +241,7 @@
     m_callers.sweep(now);
     m_balancer.sweep(now);
     m_state.directory.sweep(now);
+    m_state.budgets.sweep(now);
     if (m_isLeaving)
         sweepLeaving(now);
 }
@@ -254,6 +269,7 @@
     state["config_version"] = m_routing ? m_routing->version() : 0;
     state["caller_connections"] = m_callers.connections();
     state["requests_under_way"] = m_exchanges.size();
+    state["fleet_size"] = m_state.budgets.fleetSize();
     state["target_connections"] = m_state.directory.openConnections();
     const ChannelCounts &counts = m_state.directory.counts();
     state["connections_since_start"] = {{"opened", counts.opened},
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -28,7 +28,9 @@
 class EntryDuty
 {
 public:
-    EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics);
+    /// `askPool` is called on this duty's thread; its answer comes through `onBudgetGrants`.
+    EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
+              RetryBudgets::AskPool askPool);
     ~EntryDuty();
     EntryDuty(const EntryDuty &) = delete;
     EntryDuty &operator=(const EntryDuty &) = delete;
@@ -43,6 +45,9 @@
     void applyTargets(std::vector<RegistryChange> changes);
     /// The registry is known whole, so that requests can be taken.
     void setListed();
+    /// Takes in how many VMs there are at most; see `EntryState::growFleet`.
+    void setFleetSize(std::size_t vms);
+    void onBudgetGrants(BudgetGrants grants);
     /// Reports not ready from now on, answers what comes, and ends connections until `deadline`.
     void startLeaving(Clock::time_point deadline);
     /// Returns true once a leaving VM has nothing more to answer.
@@ -62,11 +67,16 @@
     struct Listed
     {
     };
+    struct FleetSize
+    {
+        std::size_t vms;
+    };
     struct Leave
     {
         Clock::time_point deadline;
     };
-    using Message = std::variant<RoutingChanged, TargetsChanged, Listed, Leave, StateRequest>;
+    using Message = std::variant<RoutingChanged, TargetsChanged, Listed, FleetSize, BudgetGrants,
+                                 Leave, StateRequest>;
 
     void post(Message message);
     void handle(Message &message);
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -13,35 +13,92 @@
 /// How often a stop looks whether the last request is answered.
 constexpr std::chrono::milliseconds StopCheck{20};
 
+Member memberFrom(const EntrySettings &settings)
+{
+    Member self;
+    self.vm = settings.vm;
+    self.failureDomain = settings.failureDomain;
+    self.region = settings.region;
+    if (settings.peerAddress)
+        self.peerAddress = settings.peerAddress->toString();
+    self.incarnation = randomIncarnation();
+    return self;
+}
+
 } // namespace
 
 EntryNode::EntryNode(EntrySettings settings, WireAdapter adapter)
     : m_settings(std::move(settings))
     , m_adapter(std::move(adapter))
+    , m_self(memberFrom(m_settings))
 {
-    m_entry = std::make_unique<EntryDuty>(m_settings, m_adapter, m_metrics);
-    m_registry = std::make_unique<RegistryDuty>(
-        m_settings, m_adapter,
-        RegistrySinks{[this](RoutingTablePtr routing) { m_entry->setRouting(std::move(routing)); },
-                      [this](std::vector<RegistryChange> changes) {
-                          m_entry->applyTargets(std::move(changes));
-                      },
-                      [this] { m_entry->setListed(); },
-                      [this](const char *outcome, Clock::duration took) {
-                          m_metrics.storeReads.Add({{"outcome", outcome}}).Increment();
-                          m_metrics.storeSeconds.Observe(
-                              std::chrono::duration<double>(took).count());
-                      }});
+    m_entry = std::make_unique<EntryDuty>(
+        m_settings, m_adapter, m_metrics, [this](BudgetQuestion question) {
+            if (!m_registry->tryPost(std::move(question)))
+                logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
+        });
+    m_registry =
+        std::make_unique<RegistryDuty>(m_settings, m_self, m_adapter, registrySinks(), m_metrics);
+    if (m_settings.peerAddress)
+        m_peers = std::make_unique<PeerDuty>(m_self, *m_settings.peerAddress, peerSinks());
     ReportSources sources;
     sources.isReady = [this] { return m_entry->isReady(); };
     sources.states = {
         {"entry",
          [this](StateRequest request) { return m_entry->requestState(std::move(request)); }},
         {"registry",
-         [this](StateRequest request) { return m_registry->requestState(std::move(request)); }}};
+         [this](StateRequest request) { return m_registry->tryPost(std::move(request)); }}};
+    if (m_peers)
+        sources.states.emplace_back(
+            "peers", [this](StateRequest request) { return m_peers->tryPost(std::move(request)); });
     m_report = std::make_unique<ReportDuty>(m_settings.operatorAddress, sources, m_metrics);
 }
 
+RegistrySinks EntryNode::registrySinks()
+{
+    RegistrySinks sinks;
+    sinks.onRouting = [this](RoutingTablePtr routing) { m_entry->setRouting(std::move(routing)); };
+    sinks.onTargets = [this](std::vector<RegistryChange> changes) {
+        m_entry->applyTargets(std::move(changes));
+    };
+    sinks.onListed = [this] { m_entry->setListed(); };
+    sinks.onRead = [this](const char *outcome, Clock::duration took) {
+        m_metrics.storeReads.Add({{"outcome", outcome}}).Increment();
+        m_metrics.storeSeconds.Observe(std::chrono::duration<double>(took).count());
+    };
+    sinks.onFleetSize = [this](std::size_t vms) { m_entry->setFleetSize(vms); };
+    sinks.onGrants = [this](BudgetGrants grants) { m_entry->onBudgetGrants(std::move(grants)); };
+    sinks.onMembers = [this](MemberViewPtr members) {
+        m_peers->tryPost(MembersChanged{std::move(members)});
+    };
+    sinks.sendToVm = [this](const VmId &vm, FramePtr frame) {
+        if (!m_peers->tryPost(SendToVm{vm, std::move(frame)}))
+            logEvent(LogLevel::Error, "ring_full", {{"duty", "peers"}});
+    };
+    sinks.sendOnLink = [this](LinkId link, FramePtr frame) {
+        if (!m_peers->tryPost(SendOnLink{link, std::move(frame)}))
+            logEvent(LogLevel::Error, "ring_full", {{"duty", "peers"}});
+    };
+    return sinks;
+}
+
+PeerSinks EntryNode::peerSinks()
+{
+    const auto post = [this](RegistryMessage message) {
+        if (!m_registry->tryPost(std::move(message)))
+            logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
+    };
+    PeerSinks sinks;
+    sinks.onFrame = [post](LinkId link, FramePtr frame, Clock::time_point) {
+        post(ControlFrame{link, std::move(frame)});
+    };
+    sinks.onPeerLost = [post](const VmId &vm) { post(PeerLost{vm}); };
+    sinks.onLinkLost = [post](LinkId link) { post(LinkLost{link}); };
+    // Frames about the state of the store carry no exchange.
+    sinks.onUnsent = [](ExchangeId) {};
+    return sinks;
+}
+
 EntryNode::~EntryNode()
 {
     stop();
@@ -51,6 +108,8 @@
 {
     if (!m_entry->start())
         return false;
+    if (m_peers)
+        m_peers->start();
     m_registry->start();
     if (!m_report->start()) {
         logEvent(LogLevel::Error, "listen_failed", {{"field", "operator_address"}});
@@ -67,6 +126,7 @@
     if (std::exchange(m_isStarted, false)) {
         const Clock::time_point deadline = Clock::now() + m_settings.stopPatience;
         logEvent(LogLevel::Info, "vm_leaving", {{"vm", m_settings.vm}});
+        m_registry->tryPost(StartLeaving{});
         m_entry->startLeaving(deadline);
         while (!m_entry->hasLeft() && Clock::now() < deadline)
             std::this_thread::sleep_for(StopCheck);
@@ -74,6 +134,8 @@
             logEvent(LogLevel::Warning, "stop_cut_off");
     }
     m_registry->stop();
+    if (m_peers)
+        m_peers->stop();
     m_entry->stop();
     m_report->stop();
 }
--- a/src/entry/entrynode.h
+++ b/src/entry/entrynode.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "base/metrics.h"
+#include "duties/peerduty.h"
 #include "duties/reportduty.h"
 #include "entry/entryduty.h"
 #include "entry/entrysettings.h"
@@ -26,11 +27,17 @@
     void stop();
 
 private:
+    RegistrySinks registrySinks();
+    PeerSinks peerSinks();
+
     EntrySettings m_settings;
     WireAdapter m_adapter;
     Metrics m_metrics;
+    Member m_self;
     std::unique_ptr<EntryDuty> m_entry;
     std::unique_ptr<RegistryDuty> m_registry;
+    /// Only where the settings name a peer address.
+    std::unique_ptr<PeerDuty> m_peers;
     std::unique_ptr<ReportDuty> m_report;
     bool m_isStarted = false;
 };
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -23,6 +23,14 @@
     settings.readyAddress = read("ready_address");
     settings.operatorAddress = read("operator_address");
     settings.storeAddress = read("store_address");
+    if (json.contains("peer_address"))
+        settings.peerAddress = read("peer_address");
+    if (!json.contains("seeds"))
+        return;
+    for (std::size_t i = 0; i < json.at("seeds").size(); ++i) {
+        readAddressField(json.at("seeds").at(i), "/seeds/" + std::to_string(i), faults);
+        settings.seeds.push_back(json.at("seeds").at(i));
+    }
 }
 
 RetryBudgetTerms readBudget(const Json &json)
@@ -50,7 +58,7 @@
     settings.region = json.at("region");
     readAddresses(json, settings, faults);
     settings.retryBudget = readBudget(json.at("retry_budget"));
-    settings.vmsAtMost = json.value("vms_at_most", settings.vmsAtMost);
+    settings.assumedVms = json.value("assumed_vms", settings.assumedVms);
     settings.stopPatience =
         milliseconds(json.value("stop_patience_ms", settings.stopPatience.count()));
     settings.maxCallerConnections =
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -2,7 +2,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -26,9 +28,15 @@
     /// Where health, metrics and the state dump are served.
     Address operatorAddress;
     Address storeAddress;
+    /// Where other VMs ask for state (TCP) and send heartbeats (UDP); without it this VM knows of
+    /// no others.
+    std::optional<Address> peerAddress;
+    /// Peer addresses of some VMs, which may be down or gone.
+    std::vector<std::string> seeds;
     RetryBudgetTerms retryBudget;
-    /// How many VMs may be alive at once; each takes that part of what all share.
-    std::size_t vmsAtMost = 12;
+    /// How many VMs share what all may use, at least: until this VM has heard of more, as it may be
+    /// cut off from the others. The users' deployments have 7 today, and some may be added.
+    std::size_t assumedVms = 12;
     /// The longest that a graceful stop may take.
     std::chrono::milliseconds stopPatience{5000};
     std::size_t maxCallerConnections = 2000;
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -8,10 +8,10 @@
 
 #include "base/metrics.h"
 #include "entry/entrysettings.h"
+#include "entry/retrybudgets.h"
 #include "entry/targetdirectory.h"
 #include "entry/wireadapter.h"
 #include "mangoshift/latencydigest.h"
-#include "mangoshift/retryshare.h"
 #include "mangoshift/routing.h"
 
 namespace mangoshift {
@@ -33,15 +33,13 @@
     Metrics &metrics;
     TargetDirectory directory;
     std::unordered_map<std::string, RouteState> routes;
-    std::unordered_map<std::string, RetryShare> retryShares;
+    RetryBudgets budgets;
 
-    /// Returns this VM's share of the service's budget for extra requests.
-    RetryShare &retryShare(const std::string &service)
+    /// Takes in how many VMs there may be, if that is more than was known.
+    void growFleet(std::size_t vms)
     {
-        return retryShares
-            .try_emplace(service, settings.retryBudget,
-                         1.0 / static_cast<double>(settings.vmsAtMost))
-            .first->second;
+        budgets.growFleet(vms);
+        directory.setFleetSize(budgets.fleetSize());
     }
 };
 
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -10,11 +12,18 @@
 #include <asio/basic_waitable_timer.hpp>
 
 #include "base/duty.h"
+#include "base/metrics.h"
+#include "duties/memberexchange.h"
 #include "duties/messages.h"
 #include "entry/entrysettings.h"
+#include "entry/peerquestions.h"
+#include "entry/statewire.h"
 #include "entry/storeconnection.h"
 #include "entry/wireadapter.h"
+#include "mangoshift/changelog.h"
+#include "mangoshift/retrypool.h"
 #include "mangoshift/routing.h"
+#include "mangoshift/sourcepicker.h"
 #include "mangoshift/storefollower.h"
 #include "mangoshift/targetregistry.h"
 
@@ -29,51 +38,106 @@
     std::function<void()> onListed;
     /// One read of the store, by its outcome: `ok`, `refused`, `failed` or `history_gone`.
     std::function<void(const char *outcome, Clock::duration)> onRead;
+    /// How many VMs there are, at most: the dead are counted until they are forgotten.
+    std::function<void(std::size_t)> onFleetSize;
+    std::function<void(MemberViewPtr)> onMembers;
+    std::function<void(BudgetGrants)> onGrants;
+    std::function<void(const VmId &, FramePtr)> sendToVm;
+    std::function<void(LinkId, FramePtr)> sendOnLink;
 };
 
-/// The duty that follows the store: the configuration in force, and which targets there are.
+/// The duty that follows the state of the store: the configuration in force, and which targets
+/// there are. It asks the store or another VM, as `SourcePicker` decides, and answers other VMs.
 ///
 /// Puts a configuration in force only if its version is greater than the last, whoever brought it.
 class RegistryDuty
 {
 public:
-    RegistryDuty(const EntrySettings &settings, const WireAdapter &adapter, RegistrySinks sinks);
+    /// Throws `asio::system_error` where the address for heartbeats is taken.
+    RegistryDuty(const EntrySettings &settings, Member self, const WireAdapter &adapter,
+                 RegistrySinks sinks, Metrics &metrics);
     ~RegistryDuty();
     RegistryDuty(const RegistryDuty &) = delete;
     RegistryDuty &operator=(const RegistryDuty &) = delete;
 
     void start();
     void stop() { m_duty.stop(); }
-    /// Asks for this duty's part of the state dump. Returns false where its ring is full.
-    bool requestState(StateRequest request) { return m_duty.tryPost(std::move(request)); }
+    /// A frame from another VM, a lost link or VM, a leave, or a request for the state dump.
+    /// Returns false where the ring is full.
+    bool tryPost(RegistryMessage message) { return m_duty.tryPostMessage(message); }
 
 private:
-    using Message = std::variant<StateRequest>;
+    using Timer = asio::basic_waitable_timer<Clock>;
 
+    void handle(RegistryMessage &message);
+    void onFrame(ControlFrame &message);
+    void onView(MemberViewPtr view);
+    void armMemberTick();
+
+    void updatePool();
+    void askPool(BudgetQuestion &question);
+    BudgetCounts grantFromPool(const BudgetCounts &wanted);
+
+    void askNext();
+    void waitUntil(Clock::time_point at);
     void perform(const StoreStep &step);
     void ask(const std::string &target, std::chrono::milliseconds timeout, bool isListing);
     void onResult(const StoreConnection::Result &result, bool isListing);
+    void goOn(const StoreStep &step);
     void onPage(const StoreAnswer &answer);
+    void replaceTargets(const std::vector<RegisteredTarget> &targets, std::uint64_t revision);
     void onAnswer();
     void onFailure(const std::string &why);
-    void take(const StoreEntry &entry);
-    void publish(std::vector<RegistryChange> changes);
+
+    void askPeer(const VmId &vm);
+    void onPeerState(wire::StateReplyT &reply);
+    void onPeerFailure(const char *why);
+    void takePeerState(PeerState state);
+
+    void take(const StoreEntry &entry, std::uint64_t revision);
+    void takeConfiguration(const RoutingDocument &document, const std::string &bytes,
+                           std::uint64_t revision);
+    void removeTarget(const TargetId &id, std::uint64_t revision);
+    void noteSource(const StoreSource &source);
+    void hear(Clock::time_point at);
+    void publish(std::vector<RegistryChange> changes, std::uint64_t revision);
     void armExpiry();
+    PeerState stateAfter(std::uint64_t revision) const;
+    void answer(const PeerQuestion &question);
+    void answerPeers();
     std::string stateJson() const;
 
     EntrySettings m_settings;
+    Member m_self;
     const WireAdapter &m_adapter;
     RegistrySinks m_sinks;
-    Duty<Message> m_duty;
+    Metrics &m_metrics;
+    Duty<RegistryMessage> m_duty;
     StoreConnection m_connection;
     StoreFollower m_follower;
     TargetRegistry m_registry;
-    asio::basic_waitable_timer<Clock> m_waitTimer;
-    asio::basic_waitable_timer<Clock> m_expiryTimer;
+    ChangeLog m_changes;
+    SourcePicker m_picker;
+    /// Without a peer address this VM knows of no others.
+    std::unique_ptr<MemberExchange> m_members;
+    RetryPool m_pool;
+    VmId m_poolKeeper;
+    PeerQuestions m_questions;
+    Timer m_memberTick;
+    Timer m_waitTimer;
+    Timer m_pullTimer;
+    Timer m_expiryTimer;
     RoutingTablePtr m_routing;
+    std::string m_configuration;
     std::vector<RegisteredTarget> m_listed;
+    /// What is being asked; no value while nothing is.
+    std::optional<StoreSource> m_asking;
+    std::optional<StoreSource> m_lastSource;
+    std::uint64_t m_pullSequence = 0;
     Clock::time_point m_askedAt{};
     Clock::time_point m_awaySince{};
+    /// When the store was last heard, by this VM or by one that it asked.
+    Clock::time_point m_heardAt{};
     bool m_hasListed = false;
 };
 
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -186,13 +186,45 @@
             return {};
         }
     }
-    const bool isExtra = part.mayHaveArrived;
-    RetryShare &share = m_state.retryShare(part.service);
-    if (isExtra && share.left(now) < 1.0) {
-        ++m_denied;
-        note("no_budget", part.service, {}, "");
-        return onNotSent(action, CallState::NoRoom, now);
-    }
+    if (!part.mayHaveArrived)
+        return callTarget(action, Payment::None, now);
+    if (m_state.budgets.share(part.service).left(now) >= 1.0)
+        return callTarget(action, Payment::Share, now);
+    const bool isAsked = m_state.budgets.ask(
+        part.service,
+        [weak = weak_from_this(), action](bool isGranted) {
+            if (const auto self = weak.lock())
+                self->onPoolAnswer(action, isGranted);
+        },
+        now);
+    return isAsked ? RequestActions{} : onDenied(action, now);
+}
+
+RequestActions RequestExchange::onDenied(const SendPart &action, Clock::time_point now)
+{
+    ++m_denied;
+    note("no_budget", m_parts[action.part].service, {}, "");
+    return onNotSent(action, CallState::NoRoom, now);
+}
+
+void RequestExchange::onPoolAnswer(const SendPart &action, bool isGranted)
+{
+    if (m_isFinished)
+        return;
+    const Clock::time_point now = Clock::now();
+    const bool isNeeded = m_parts[action.part].receipt.empty();
+    if (action.cause == SendCause::Hedge && !isNeeded)
+        m_machine->onHedgeDropped(action.part);
+    else if (isGranted)
+        perform(callTarget(action, Payment::Pool, now));
+    else
+        perform(onDenied(action, now));
+}
+
+RequestActions RequestExchange::callTarget(const SendPart &action, Payment payment,
+                                           Clock::time_point now)
+{
+    Part &part = m_parts[action.part];
     ServiceCall call;
     call.service = part.service;
     call.request = m_forwarded;
@@ -219,8 +251,8 @@
     if (state == CallState::Waiting)
         note("waits", part.service, {}, "");
     // Already when it begins to wait, as others that wait would pass the same check.
-    if (isExtra)
-        share.trySpend(now);
+    if (payment == Payment::Share)
+        m_state.budgets.share(part.service).trySpend(now);
     part.isWaiting = state == CallState::Waiting;
     if (action.cause == SendCause::Hedge)
         ++m_hedges;
@@ -247,7 +279,7 @@
     Part &state = m_parts[part];
     const Clock::time_point now = Clock::now();
     if (!state.mayHaveArrived)
-        m_state.retryShare(state.service).onFirst(now);
+        m_state.budgets.share(state.service).onFirst(now);
     if (state.mayHaveArrived || state.isWaiting)
         note("sent", state.service, target->info.id, state.mayHaveArrived ? "extra" : "waited");
     state.copies.push_back({target, call, true});
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -56,6 +56,11 @@
 
     void perform(RequestActions actions);
     RequestActions sendPart(const SendPart &action, Clock::time_point now);
+    /// Whom an extra request is paid from; first ones are free.
+    enum class Payment : std::uint8_t { None, Share, Pool };
+    RequestActions callTarget(const SendPart &action, Payment payment, Clock::time_point now);
+    RequestActions onDenied(const SendPart &action, Clock::time_point now);
+    void onPoolAnswer(const SendPart &action, bool isGranted);
     RequestActions onNotSent(const SendPart &action, CallState state, Clock::time_point now);
     void onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call);
     void onReply(std::size_t part, const TargetHandlePtr &target, TargetReply reply);
--- /dev/null
+++ b/src/entry/retrybudgets.cpp
@@ -0,0 +1,95 @@
+#include "entry/retrybudgets.h"
+
+#include <map>
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include "mangoshift/retrypool.h"
+
+namespace mangoshift {
+
+namespace {
+
+/// How long the pool's answer is awaited: less than a caller waits for a hedge to pay off.
+constexpr std::chrono::milliseconds AnswerPatience{100};
+
+} // namespace
+
+RetryBudgets::RetryBudgets(asio::io_context &io, const RetryBudgetTerms &terms,
+                           std::size_t assumedVms, AskPool askPool)
+    : m_io(io)
+    , m_terms(terms)
+    , m_assumedVms(assumedVms)
+    , m_fleetSize(assumedVms)
+    , m_askPool(std::move(askPool))
+{
+}
+
+double RetryBudgets::slackShare() const
+{
+    const double whole = isPooled() ? 1.0 - PooledSlack : 1.0;
+    return whole / static_cast<double>(m_fleetSize);
+}
+
+void RetryBudgets::growFleet(std::size_t vms)
+{
+    if (vms <= m_fleetSize)
+        return;
+    m_fleetSize = vms;
+    for (auto &[service, share] : m_shares)
+        share.setSlackShare(slackShare());
+}
+
+RetryShare &RetryBudgets::share(const std::string &service)
+{
+    return m_shares.try_emplace(service, m_terms, slackShare()).first->second;
+}
+
+bool RetryBudgets::ask(const std::string &service, Granted granted, Clock::time_point now)
+{
+    if (!isPooled())
+        return false;
+    if (m_wishes.empty())
+        asio::post(m_io, [this] { send(); });
+    m_wishes.push_back({service, std::move(granted)});
+    m_questions[m_lastSequence + 1].denyAt = now + AnswerPatience;
+    return true;
+}
+
+void RetryBudgets::send()
+{
+    const std::uint64_t sequence = ++m_lastSequence;
+    Question &question = m_questions[sequence];
+    question.wishes = std::exchange(m_wishes, {});
+    std::map<std::string, std::uint32_t> counts;
+    for (const Wish &wish : question.wishes)
+        ++counts[wish.service];
+    m_askPool({sequence, {counts.begin(), counts.end()}});
+}
+
+void RetryBudgets::onGrants(const BudgetGrants &grants)
+{
+    auto node = m_questions.extract(grants.sequence);
+    if (node.empty())
+        return;
+    std::map<std::string, std::uint32_t> left(grants.counts.begin(), grants.counts.end());
+    for (const Wish &wish : node.mapped().wishes) {
+        std::uint32_t &count = left[wish.service];
+        const bool isGranted = count > 0;
+        count -= isGranted ? 1 : 0;
+        wish.granted(isGranted);
+    }
+}
+
+void RetryBudgets::sweep(Clock::time_point now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &[sequence, question] : m_questions)
+        if (sequence <= m_lastSequence && now >= question.denyAt)
+            late.push_back(sequence);
+    for (const std::uint64_t sequence : late)
+        onGrants({sequence, {}});
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/retrybudgets.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <asio/io_context.hpp>
+
+#include "duties/messages.h"
+#include "mangoshift/retryshare.h"
+
+namespace mangoshift {
+
+/// This VM's part of the services' budgets for extra requests.
+///
+/// In a small fleet each VM has an even share. In one with more VMs than were assumed, even shares
+/// become too small for one VM's needs: half of the slack is then pooled in each failure domain,
+/// and asked for where the share is spent. Belongs to the entry duty's thread.
+class RetryBudgets
+{
+public:
+    /// Takes whether the pool granted an extra request.
+    using Granted = std::function<void(bool isGranted)>;
+    /// Sends a question to the pool, answered through `onGrants`.
+    using AskPool = std::function<void(BudgetQuestion)>;
+
+    RetryBudgets(asio::io_context &io, const RetryBudgetTerms &terms, std::size_t assumedVms,
+                 AskPool askPool);
+
+    /// Takes in how many VMs there may be, if that is more than was known.
+    void growFleet(std::size_t vms);
+    std::size_t fleetSize() const { return m_fleetSize; }
+
+    /// Returns this VM's own share of a service's budget.
+    RetryShare &share(const std::string &service);
+    /// Asks the pool for one extra request; `granted` is called later, on this thread. Returns
+    /// false where there is no pool.
+    bool ask(const std::string &service, Granted granted, Clock::time_point now);
+    void onGrants(const BudgetGrants &grants);
+    /// Denies what was asked for too long ago.
+    void sweep(Clock::time_point now);
+
+private:
+    struct Wish
+    {
+        std::string service;
+        Granted granted;
+    };
+    struct Question
+    {
+        std::vector<Wish> wishes;
+        Clock::time_point denyAt;
+    };
+
+    bool isPooled() const { return m_fleetSize > m_assumedVms; }
+    double slackShare() const;
+    void send();
+
+    asio::io_context &m_io;
+    RetryBudgetTerms m_terms;
+    std::size_t m_assumedVms;
+    std::size_t m_fleetSize;
+    AskPool m_askPool;
+    std::unordered_map<std::string, RetryShare> m_shares;
+    /// Wishes that go out together at the end of this turn of the event loop.
+    std::vector<Wish> m_wishes;
+    std::unordered_map<std::uint64_t, Question> m_questions;
+    std::uint64_t m_lastSequence = 0;
+};
+
+} // namespace mangoshift
--- /dev/null
+++ b/src/entry/statewire.cpp
@@ -0,0 +1,106 @@
+#include "entry/statewire.h"
+
+#include <memory>
+#include <utility>
+
+namespace mangoshift {
+
+namespace {
+
+std::uint32_t toWire(std::chrono::milliseconds time)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(time.count(), 0));
+}
+
+std::unique_ptr<wire::RegisteredTargetT> toWire(const RegisteredTarget &target)
+{
+    auto result = std::make_unique<wire::RegisteredTargetT>();
+    result->id = target.id;
+    result->service = target.service;
+    result->address = target.address;
+    result->failure_domain = target.failureDomain;
+    result->slots = target.slots;
+    result->draining = target.isDraining;
+    result->warmup_left_ms = toWire(target.warmupLeft);
+    result->started_at = target.startedAt;
+    result->sequence = target.sequence;
+    return result;
+}
+
+RegisteredTarget fromWire(wire::RegisteredTargetT &target)
+{
+    RegisteredTarget result;
+    result.id = std::move(target.id);
+    result.service = std::move(target.service);
+    result.address = std::move(target.address);
+    result.failureDomain = std::move(target.failure_domain);
+    result.slots = target.slots;
+    result.isDraining = target.draining;
+    result.warmupLeft = std::chrono::milliseconds(target.warmup_left_ms);
+    result.startedAt = target.started_at;
+    result.sequence = target.sequence;
+    return result;
+}
+
+} // namespace
+
+wire::StateReplyT toWire(const PeerState &state, std::uint64_t sequence)
+{
+    wire::StateReplyT reply;
+    reply.sequence = sequence;
+    reply.revision = state.revision;
+    reply.whole = state.isWhole;
+    reply.age_ms = toWire(state.age);
+    reply.removals_wait_ms = toWire(state.removalsWait);
+    reply.configuration = state.configuration;
+    reply.targets.reserve(state.targets.size() + state.gone.size());
+    for (const RegisteredTarget &target : state.targets)
+        reply.targets.push_back(toWire(target));
+    for (const TargetId &id : state.gone) {
+        reply.targets.push_back(std::make_unique<wire::RegisteredTargetT>());
+        reply.targets.back()->id = id;
+    }
+    return reply;
+}
+
+WireBudgetCounts toWire(const BudgetCounts &counts)
+{
+    WireBudgetCounts result;
+    result.reserve(counts.size());
+    for (const auto &[service, count] : counts) {
+        result.push_back(std::make_unique<wire::BudgetCountT>());
+        result.back()->service = service;
+        result.back()->count = count;
+    }
+    return result;
+}
+
+BudgetCounts fromWire(const WireBudgetCounts &counts)
+{
+    BudgetCounts result;
+    for (const auto &count : counts)
+        if (count)
+            result.emplace_back(count->service, count->count);
+    return result;
+}
+
+PeerState fromWire(wire::StateReplyT &reply)
+{
+    PeerState state;
+    state.revision = reply.revision;
+    state.isWhole = reply.whole;
+    state.age = std::chrono::milliseconds(reply.age_ms);
+    state.removalsWait = std::chrono::milliseconds(reply.removals_wait_ms);
+    state.configuration = std::move(reply.configuration);
+    for (const auto &target : reply.targets) {
+        if (!target || target->id.empty())
+            continue;
+        if (target->service.empty())
+            state.gone.push_back(std::move(target->id));
+        else
+            state.targets.push_back(fromWire(*target));
+    }
+    return state;
+}
+
+} // namespace mangoshift
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -20,10 +20,10 @@
 } // namespace
 
 TargetDirectory::TargetDirectory(asio::io_context &io, const TargetHeaderNames &names,
-                                 std::size_t vmsAtMost)
+                                 std::size_t fleetSize)
     : m_io(io)
     , m_names(names)
-    , m_vmsAtMost(vmsAtMost)
+    , m_fleetSize(fleetSize)
     , m_random(std::random_device{}())
 {
 }
@@ -100,13 +100,24 @@
 std::size_t TargetDirectory::connectionLimit(const RegisteredTarget &target) const
 {
     const std::size_t all =
-        m_routing ? m_routing->serviceOf(target.service).maxConnections : m_vmsAtMost;
-    return std::clamp<std::size_t>(all / m_vmsAtMost, 1, target.slots + SpareConnections);
+        m_routing ? m_routing->serviceOf(target.service).maxConnections : m_fleetSize;
+    return std::clamp<std::size_t>(all / m_fleetSize, 1, target.slots + SpareConnections);
 }
 
 void TargetDirectory::setRouting(RoutingTablePtr routing)
 {
     m_routing = std::move(routing);
+    limitConnections();
+}
+
+void TargetDirectory::setFleetSize(std::size_t vms)
+{
+    m_fleetSize = vms;
+    limitConnections();
+}
+
+void TargetDirectory::limitConnections()
+{
     for (const auto &[id, handle] : m_byId)
         handle->channels.setMaxConnections(connectionLimit(handle->info));
 }
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -68,12 +68,14 @@
 class TargetDirectory
 {
 public:
-    /// `vmsAtMost` is how many VMs share a target's connections.
-    TargetDirectory(asio::io_context &io, const TargetHeaderNames &names, std::size_t vmsAtMost);
+    /// `fleetSize` is how many VMs share a target's connections.
+    TargetDirectory(asio::io_context &io, const TargetHeaderNames &names, std::size_t fleetSize);
 
     void apply(const std::vector<RegistryChange> &changes, Clock::time_point now);
     /// Takes in the connection limits of a new configuration.
     void setRouting(RoutingTablePtr routing);
+    /// Takes in among how many VMs the connections of a target are shared.
+    void setFleetSize(std::size_t vms);
 
     /// Sends a request to a target that has room, one that costs little more often than others. A
     /// target that is leaving is picked only where the service has no other and it has been leaving
@@ -93,6 +95,7 @@
 private:
     void list(const RegisteredTarget &target, Clock::time_point now);
     void delist(const TargetId &id);
+    void limitConnections();
     std::size_t connectionLimit(const RegisteredTarget &target) const;
     std::vector<TargetHandlePtr> candidates(const ServiceCall &call, Clock::time_point now) const;
     TargetHandlePtr pick(const std::vector<TargetHandlePtr> &handles, Clock::time_point now);
@@ -104,7 +107,7 @@
 
     asio::io_context &m_io;
     const TargetHeaderNames &m_names;
-    std::size_t m_vmsAtMost;
+    std::size_t m_fleetSize;
     RoutingTablePtr m_routing;
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
--- a/src/entry/wireadapter.h
+++ b/src/entry/wireadapter.h
@@ -46,6 +46,8 @@
     /// The target that the key stands for; empty where it stands for none.
     TargetId targetId;
     std::variant<RoutingDocument, RegisteredTarget, UnreadableEntry, RemovedEntry> value;
+    /// The bytes of the operator's configuration, to be passed on to other VMs as they are.
+    std::string configuration;
 };
 
 /// What a listing or a watch brought.
@@ -69,6 +71,8 @@
     /// Return the request target of a call to the store.
     std::function<std::string(const std::string &afterKey)> listTarget;
     std::function<std::string(std::uint64_t revision, std::chrono::milliseconds wait)> watchTarget;
+    /// Decodes the bytes of the operator's configuration; the error names the field at fault.
+    std::function<tl::expected<RoutingDocument, std::string>(std::string_view)> parseConfiguration;
     /// Decode a body of the store; the error says what is wrong with it as a whole.
     std::function<tl::expected<StoreAnswer, std::string>(std::string_view body)> parseListing;
     std::function<tl::expected<StoreAnswer, std::string>(std::string_view body)> parseChanges;
--- /dev/null
+++ b/test/system/entrypeers_test.cpp
@@ -0,0 +1,83 @@
+#include <csignal>
+
+#include <catch2/catch.hpp>
+
+#include "entrysystem.h"
+
+using namespace mangoshift;
+using namespace mangoshift::testing;
+
+namespace {
+
+/// The last number of an address at which no store answers.
+const std::string Nowhere = "9";
+
+bool contains(const std::string &text, const std::string &what)
+{
+    return text.find(what) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("A VM that starts while the store is away")
+{
+    EntrySystem system;
+    system.setStore("down");
+    REQUIRE(eventually([&system] { return contains(system.log(), "event=store_lost"); }));
+    system.startVm(2);
+
+    SECTION("learns configuration and targets from another VM and serves")
+    {
+        REQUIRE(eventually([&system] { return system.isReady(2); }));
+        const auto answer = system.ask("GET", "/all/x", "second", 2);
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        CHECK(eventually([&system] {
+            return contains(system.log(2),
+                            "event=configuration_adopted version=1 routes=3 source=a-1");
+        }));
+    }
+    SECTION("goes on by itself once the store is back")
+    {
+        REQUIRE(eventually([&system] { return system.isReady(2); }));
+        system.configure(9, "s3");
+        system.setStore("ok");
+        CHECK(eventually([&system] {
+            return contains(system.log(2), "event=configuration_adopted version=9");
+        }));
+    }
+}
+
+TEST_CASE("A VM that never reaches the store")
+{
+    EntrySystem system;
+    system.startVm(2, Nowhere);
+    REQUIRE(eventually([&system] { return system.isReady(2); }));
+
+    SECTION("follows what another VM knows")
+    {
+        system.configure(7, "s2");
+        CHECK(eventually([&system] {
+            return contains(system.log(2), "event=configuration_adopted version=7");
+        }));
+        system.announce(Servers[5], "draining", 2);
+        CHECK(eventually(
+            [&system] { return contains(system.log(2), "event=target_draining target=i-oa"); }));
+        system.withdraw(Servers[5]);
+        CHECK(eventually(
+            [&system] { return contains(system.log(2), "event=target_delisted target=i-oa"); }));
+    }
+    SECTION("keeps what it knows when that VM is gone, and follows it again after its return")
+    {
+        system.vm(1).signal(SIGKILL);
+        system.vm(1).wait();
+        const auto answer = system.ask("GET", "/all/x", "alone", 2);
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        system.configure(8, "s2");
+        system.startVm(1);
+        CHECK(eventually([&system] {
+            return contains(system.log(2), "event=configuration_adopted version=8");
+        }));
+    }
+}
--- /dev/null
+++ b/test/unit/retrypool_test.cpp
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "mangoshift/retrypool.h"
+
+using namespace mangoshift;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Clock::time_point Start{seconds(1000)};
+const RetryBudgetTerms Terms{0.2, 196.0, seconds(10)};
+
+MemberView viewOf(const std::vector<std::string> &vms, const std::string &domain)
+{
+    MemberView view;
+    for (const std::string &vm : vms)
+        view.members.push_back({vm, domain, "r", "", 1});
+    return view;
+}
+
+} // namespace
+
+TEST_CASE("Each failure domain has one keeper of its retry pool")
+{
+    const std::vector<std::string> vms{"a-0", "a-1", "a-2", "a-3"};
+    MemberView view = viewOf(vms, "a");
+    const VmId keeper = poolKeeper(view, view.members[0]);
+
+    SECTION("all of its VMs agree on it")
+    {
+        for (const Member &member : view.members)
+            CHECK(poolKeeper(view, member) == keeper);
+    }
+    SECTION("another takes its place where it leaves")
+    {
+        for (Member &member : view.members)
+            member.isLeaving = member.vm == keeper;
+        const Member &other = view.members[keeper == "a-0" ? 1 : 0];
+        CHECK(poolKeeper(view, other) != keeper);
+    }
+    SECTION("a VM of another domain has another")
+    {
+        CHECK(poolKeeper(view, {"b-0", "b", "r", "", 1}) == "b-0");
+    }
+}
+
+TEST_CASE("A retry pool")
+{
+    RetryPool pool(Terms);
+    pool.setSlackShare(0.25);
+    const Clock::time_point ready = Start + Terms.window + GrantLife;
+
+    SECTION("grants nothing where another VM keeps it")
+    {
+        CHECK(pool.grant("s", 1, ready) == 0);
+    }
+    SECTION("grants nothing before what an earlier keeper granted has left the window")
+    {
+        pool.setKeeper(true, Start);
+        CHECK(pool.grant("s", 1, ready - milliseconds(1)) == 0);
+        CHECK(pool.grant("s", 1, ready) == 1);
+    }
+    SECTION("begins to wait anew where it was kept by another meanwhile")
+    {
+        pool.setKeeper(true, Start);
+        pool.setKeeper(false, ready);
+        pool.setKeeper(true, ready);
+        CHECK(pool.grant("s", 1, ready) == 0);
+    }
+    SECTION("grants no more than its part of the slack in any window, to each service")
+    {
+        pool.setKeeper(true, Start);
+        CHECK(pool.grant("s", 100, ready) == 49);
+        CHECK(pool.grant("s", 100, ready + seconds(10)) == 0);
+        CHECK(pool.grant("t", 100, ready) == 49);
+        CHECK(pool.grant("s", 100, ready + seconds(12)) == 49);
+    }
+}
+
+TEST_CASE("Shares and pools of all VMs together stay within the budget")
+{
+    constexpr int Vms = 60;
+    constexpr int Domains = 3;
+    for (unsigned seed = 0; seed < 20; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<RetryShare> shares(Vms, RetryShare(Terms, (1.0 - PooledSlack) / Vms));
+        std::vector<RetryPool> pools(Domains, RetryPool(Terms));
+        for (RetryPool &pool : pools) {
+            pool.setSlackShare(PooledSlack / Domains);
+            pool.setKeeper(true, Start - seconds(60));
+        }
+        std::vector<Clock::time_point> firsts;
+        std::vector<Clock::time_point> extras;
+        Clock::time_point now = Start;
+        // Requests reach few VMs at a time, and every one of them would be hedged.
+        for (int i = 0; i < 6000; ++i) {
+            now += milliseconds(1 + random() % 9);
+            const std::size_t vm = (random() % 6 + static_cast<std::size_t>(i) / 500) % Vms;
+            firsts.push_back(now);
+            shares[vm].onFirst(now);
+            if (shares[vm].trySpend(now) || pools[vm % Domains].grant("s", 1, now) == 1)
+                extras.push_back(now);
+            const auto inWindow = [&](const std::vector<Clock::time_point> &times) {
+                return static_cast<double>(
+                    times.end() - std::lower_bound(times.begin(), times.end(), now - Terms.window));
+            };
+            REQUIRE(inWindow(extras) <= Terms.ratio * inWindow(firsts) + Terms.slack);
+        }
+        CHECK(extras.size() > 1000);
+    }
+}
--- /dev/null
+++ b/test/unit/sourcepicker_test.cpp
@@ -0,0 +1,173 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "mangoshift/sourcepicker.h"
+
+using namespace mangoshift;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Clock::time_point Start{seconds(1000)};
+const std::vector<std::string> Seeds{"at-a-1", "at-b-1"};
+
+Member memberOf(const std::string &vm, const std::string &domain, bool isStarting = false)
+{
+    return {vm, domain, "r", "at-" + vm, 1, false, isStarting};
+}
+
+MemberViewPtr fleetOf(int vms, const std::string &domain, bool isStarting = false)
+{
+    auto view = std::make_shared<MemberView>();
+    for (int i = 0; i < vms; ++i)
+        view->members.push_back(memberOf(domain + "-" + std::to_string(i), domain, isStarting));
+    return view;
+}
+
+/// The pickers of all VMs of one fleet.
+std::vector<SourcePicker> pickersOf(const MemberViewPtr &view)
+{
+    std::vector<SourcePicker> pickers;
+    for (const Member &member : view->members) {
+        pickers.emplace_back(member, Seeds, Start);
+        pickers.back().setMembers(view);
+        pickers.back().setHasState();
+    }
+    return pickers;
+}
+
+bool isStore(const std::optional<StoreSource> &source)
+{
+    return source && std::holds_alternative<FromStore>(*source);
+}
+
+/// Returns a VM of a fleet of ten that is no watcher.
+SourcePicker followerOf(const MemberViewPtr &view)
+{
+    const std::vector<SourcePicker> pickers = pickersOf(view);
+    return *std::find_if(pickers.begin(), pickers.end(),
+                         [](const SourcePicker &each) { return !each.isWatcher(); });
+}
+
+} // namespace
+
+TEST_CASE("Who watches the store does not depend on the size of the fleet")
+{
+    for (const int vms : {1, 2, 3, 4, 10, 100, 540}) {
+        int watchers = 0;
+        int followers = 0;
+        for (const SourcePicker &picker : pickersOf(fleetOf(vms, "a"))) {
+            watchers += isStore(picker.pick(Start)) ? 1 : 0;
+            followers += picker.isWatcher() ? 0 : 1;
+            CHECK(picker.hasFollowers() == (vms > 3));
+        }
+        CHECK(watchers == std::min(vms, 3));
+        CHECK(followers == vms - std::min(vms, 3));
+    }
+}
+
+TEST_CASE("A VM that does not watch the store")
+{
+    const MemberViewPtr view = fleetOf(10, "a");
+    SourcePicker picker = followerOf(view);
+
+    SECTION("asks one watcher after the other, and then the store")
+    {
+        std::vector<StoreSource> asked;
+        for (auto source = picker.pick(Start); source && !isStore(source);
+             source = picker.pick(Start)) {
+            asked.push_back(*source);
+            picker.onFailed(*source, Start + seconds(2));
+        }
+        CHECK(asked.size() == 3);
+        CHECK(isStore(picker.pick(Start)));
+        CHECK_FALSE(isStore(picker.pick(Start + seconds(2))));
+    }
+    SECTION("waits where all have failed, until the first may be asked again")
+    {
+        for (auto source = picker.pick(Start); source; source = picker.pick(Start))
+            picker.onFailed(*source, Start + seconds(2));
+        CHECK(picker.retryAt(Start) == Start + seconds(2));
+    }
+    SECTION("asks watchers of other domains where its own and the store are gone")
+    {
+        auto both = std::make_shared<MemberView>(*view);
+        const MemberViewPtr others = fleetOf(10, "b");
+        for (const Member &member : others->members)
+            both->members.push_back(member);
+        picker.setMembers(both);
+        std::string last;
+        for (auto source = picker.pick(Start); source; source = picker.pick(Start)) {
+            if (const auto *peer = std::get_if<FromPeer>(&*source))
+                last = peer->vm;
+            picker.onFailed(*source, Start + seconds(2));
+        }
+        CHECK(last.substr(0, 1) == "b");
+    }
+}
+
+TEST_CASE("A watcher that has lost the store")
+{
+    const MemberViewPtr view = fleetOf(3, "a");
+    SourcePicker picker = pickersOf(view).front();
+    REQUIRE(isStore(picker.pick(Start)));
+    picker.onFailed(FromStore{}, Start + milliseconds(50));
+
+    SECTION("asks another, and leaves the store alone for a while where that one knows more")
+    {
+        const auto peer = picker.pick(Start);
+        REQUIRE(peer);
+        CHECK_FALSE(isStore(peer));
+        picker.onAnswered(*peer, Start);
+        CHECK_FALSE(isStore(picker.pick(Start + milliseconds(1900))));
+        CHECK(isStore(picker.pick(Start + milliseconds(2000))));
+    }
+    SECTION("asks the store again soon where nobody knows more")
+    {
+        for (auto source = picker.pick(Start); source; source = picker.pick(Start))
+            picker.onFailed(*source, Start + seconds(2));
+        CHECK(picker.retryAt(Start) == Start + milliseconds(50));
+        CHECK(isStore(picker.pick(Start + milliseconds(50))));
+    }
+}
+
+TEST_CASE("A VM that starts")
+{
+    SourcePicker picker(memberOf("a-0", "a", true), Seeds, Start);
+
+    SECTION("waits a moment to hear of others before it asks the store")
+    {
+        CHECK_FALSE(picker.pick(Start));
+        CHECK(picker.retryAt(Start) == Start + milliseconds(300));
+        CHECK(isStore(picker.pick(Start + milliseconds(300))));
+    }
+    SECTION("asks at once one that has started before it")
+    {
+        picker.setMembers(fleetOf(4, "b"));
+        const auto source = picker.pick(Start);
+        REQUIRE(source);
+        CHECK_FALSE(isStore(source));
+    }
+    SECTION("asks seeds also where they have nothing yet, and no others of those")
+    {
+        picker.setMembers(fleetOf(4, "a", true));
+        CHECK(picker.pick(Start) == StoreSource(FromPeer{"a-1"}));
+        picker.onFailed(FromPeer{"a-1"}, Start + seconds(2));
+        CHECK_FALSE(picker.pick(Start));
+    }
+    SECTION("asks the store at once where it is a seed")
+    {
+        CHECK(isStore(SourcePicker(memberOf("a-1", "a", true), Seeds, Start).pick(Start)));
+    }
+    SECTION("asks the store at once where it has no peer address")
+    {
+        Member alone = memberOf("a-0", "a", true);
+        alone.peerAddress.clear();
+        CHECK(isStore(SourcePicker(alone, {}, Start).pick(Start)));
+    }
+}
