Tell followers of targets that return while their removal waits, and join sooner

Entries lapsed in an outage of the store; VMs were told by others that the targets were gone, waited, and removed them. The targets had written again within the wait, which changed nothing for the watcher, so its log of changes kept silent. Ruled out: targets that were really gone (after the restart all were found), the order of reports. Change: every report that comes is logged as a change, and so is what a listing brings back.

--- a/include/mangoshift/membership.h
+++ b/include/mangoshift/membership.h
@@ -89,6 +89,8 @@
     std::chrono::milliseconds suspicion{1000};
     /// A gap between ticks from which this VM doubts its own view.
     std::chrono::milliseconds pause{1000};
+    /// Between two probes of candidates by a VM that knows of none that lives.
+    std::chrono::milliseconds alonePeriod{300};
     /// Between two probes of VMs that are not held to be alive.
     std::chrono::milliseconds candidatePeriod{2000};
     /// How long a new VM waits for answers before it counts itself as alone.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -171,7 +171,7 @@
 void Membership::probeCandidates(Clock::time_point now)
 {
     const bool isAlone = liveCount() == 0;
-    m_nextCandidateProbe = now + (isAlone ? m_options.period : m_options.candidatePeriod);
+    m_nextCandidateProbe = now + (isAlone ? m_options.alonePeriod : m_options.candidatePeriod);
     for (std::size_t i = 0; i < (isAlone ? JoinProbes : 1); ++i) {
         const auto candidate = nextCandidate();
         if (!candidate)
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds FollowedWait{1000};
 /// What a VM's answer may take beyond the wait, on a VM that is slowed several times.
 constexpr milliseconds PeerSlack{600};
+/// How often a VM that knows nothing yet looks for others: a seed that starts beside it is there
+/// some ten milliseconds later.
+constexpr milliseconds JoinTick{50};
 /// How long a VM that knows nothing yet waits for one answer: several times what the store takes to
 /// be listed, as the VM that is asked may have just begun to.
 constexpr milliseconds FirstAnswerPatience{300};
@@ -46,6 +49,7 @@
     MembershipOptions options;
     options.tick = milliseconds(250);
     options.period = milliseconds(1000);
+    options.alonePeriod = JoinTick;
     options.probeTimeout = milliseconds(400);
     options.suspicion = milliseconds(3000);
     return options;
@@ -208,7 +212,7 @@
 
 void RegistryDuty::armMemberTick()
 {
-    m_memberTick.expires_after(membershipOptions().tick);
+    m_memberTick.expires_after(m_hasListed ? membershipOptions().tick : JoinTick);
     m_memberTick.async_wait([this](const asio::error_code &error) {
         if (error)
             return;
@@ -349,10 +353,15 @@
 {
     if (!m_hasListed)
         m_changes.startAt(revision);
+    const auto noteHeld = [this, revision] {
+        for (const auto &[id, target] : m_registry.targets())
+            if (m_registry.isRemovalHeld(id))
+                m_changes.onTarget(id, revision);
+    };
+    // Others were told of a removal that waits: they have to hear of the target's return, too.
+    noteHeld();
     publish(m_registry.replaceAll(targets, Clock::now()), revision);
-    for (const auto &[id, target] : m_registry.targets())
-        if (m_registry.isRemovalHeld(id))
-            m_changes.onTarget(id, revision);
+    noteHeld();
     armExpiry();
     if (!std::exchange(m_hasListed, true)) {
         m_picker.setHasState();
@@ -459,7 +468,7 @@
         return;
     }
     for (const RegisteredTarget &target : state.targets)
-        publish(m_registry.put(target), state.revision);
+        putTarget(target, state.revision);
     for (const TargetId &id : state.gone)
         removeTarget(id, state.revision);
     armExpiry();
@@ -471,9 +480,7 @@
     std::visit(Overloaded{[&](const RoutingDocument &document) {
                               takeConfiguration(document, entry.configuration, revision);
                           },
-                          [&](const RegisteredTarget &target) {
-                              publish(m_registry.put(target), revision);
-                          },
+                          [&](const RegisteredTarget &target) { putTarget(target, revision); },
                           [&](const UnreadableEntry &unreadable) {
                               logEvent(LogLevel::Warning, "entry_rejected",
                                        {{"key", entry.key}, {"why", unreadable.why}});
@@ -503,6 +510,13 @@
     m_sinks.onRouting(m_routing);
 }
 
+void RegistryDuty::putTarget(const RegisteredTarget &target, std::uint64_t revision)
+{
+    // Also where nothing changes for this VM: another may have been told that the target is gone.
+    m_changes.onTarget(target.id, revision);
+    publish(m_registry.put(target), revision);
+}
+
 void RegistryDuty::removeTarget(const TargetId &id, std::uint64_t revision)
 {
     m_changes.onTarget(id, revision);
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -97,6 +97,7 @@
     void take(const StoreEntry &entry, std::uint64_t revision);
     void takeConfiguration(const RoutingDocument &document, const std::string &bytes,
                            std::uint64_t revision);
+    void putTarget(const RegisteredTarget &target, std::uint64_t revision);
     void removeTarget(const TargetId &id, std::uint64_t revision);
     void noteSource(const StoreSource &source);
     void hear(Clock::time_point at);
--- a/src/entry/statewire.cpp
+++ b/src/entry/statewire.cpp
@@ -21,7 +21,7 @@
     result->failure_domain = target.failureDomain;
     result->slots = target.slots;
     result->draining = target.isDraining;
-    result->warmup_left_ms = toWire(target.warmupLeft);
+    result->slow_for_ms = toWire(target.warmupLeft);
     result->started_at = target.startedAt;
     result->sequence = target.sequence;
     return result;
@@ -36,7 +36,7 @@
     result.failureDomain = std::move(target.failure_domain);
     result.slots = target.slots;
     result.isDraining = target.draining;
-    result.warmupLeft = std::chrono::milliseconds(target.warmup_left_ms);
+    result.warmupLeft = std::chrono::milliseconds(target.slow_for_ms);
     result.startedAt = target.started_at;
     result.sequence = target.sequence;
     return result;
--- a/test/system/entrypeers_test.cpp
+++ b/test/system/entrypeers_test.cpp
@@ -81,3 +81,28 @@
         }));
     }
 }
+
+TEST_CASE("A server whose entry lapsed in an outage of the store, and that has written again")
+{
+    EntrySystem system;
+    const ServerSpec &server = Servers[5];
+    system.startVm(2, Nowhere);
+    REQUIRE(eventually([&system] { return system.isReady(2); }));
+    system.setStore("down");
+    REQUIRE(eventually([&system] { return contains(system.log(), "event=store_lost"); }));
+    system.withdraw(server);
+    system.setStore("ok");
+
+    SECTION("is known again to a VM that had been told of the removal by another")
+    {
+        REQUIRE(eventually([&] {
+            const auto registry = system.registry(2);
+            return registry.at("held_removals") == 1 || !registry.at("targets").contains(server.id);
+        }));
+        system.announce(server, "ready", 2);
+        CHECK(eventually([&] {
+            const auto registry = system.registry(2);
+            return registry.at("held_removals") == 0 && registry.at("targets").contains(server.id);
+        }));
+    }
+}
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -181,6 +181,14 @@
         return result && result->status == 200;
     }
 
+    /// The registry's part of a VM's state dump.
+    nlohmann::json registry(int vm)
+    {
+        const auto result = httplib::Client(ip(vmIp(vm)), OperatorPort).Get("/state");
+        REQUIRE(result);
+        return nlohmann::json::parse(result->body).at("registry");
+    }
+
     /// Which servers ran the request, in their order.
     std::vector<std::string> ranBy(const std::string &id)
     {
