--- a/include/mangoshift/retryshare.h
+++ b/include/mangoshift/retryshare.h
@@ -17,6 +17,8 @@
     /// Extra requests within one window beyond those, of all VMs together.
     double slack = 0.0;
     std::chrono::milliseconds window{std::chrono::seconds(10)};
+
+    bool operator==(const RetryBudgetTerms &) const = default;
 };
 
 /// One VM's share of a service's budget for extra requests.
--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -1,10 +1,9 @@
+#include <memory>
 #include <string>
 
 #include "app/command.h"
 #include "app/commandline.h"
-#include "app/processsignals.h"
-#include "app/settingsfile.h"
-#include "base/log.h"
+#include "app/noderun.h"
 #include "entry/entrynode.h"
 #include "entry/entrysettings.h"
 #include "platform/platformadapter.h"
@@ -17,37 +16,21 @@
     "Usage: mangoshift entry --settings FILE\n"
     "\n"
     "Runs one entry VM on a platform with a store, until SIGTERM or SIGINT, then stops\n"
-    "gracefully. On SIGHUP it reads the settings again and applies log_level.\n"
+    "gracefully. On SIGHUP, and where the file has changed, it reads the settings again, applies\n"
+    "log_level, stop_patience_ms, retry_budget, reply_margin_ms and seeds, and logs which other\n"
+    "changes need a restart.\n"
     "\n"
     "  -s, --settings FILE  the process's settings, in JSON\n"
     "  -h, --help           print this text\n";
 
-void reload(const std::string &path)
+void apply(EntryNode &node, EntrySettings &inForce, const EntrySettings &wanted)
 {
-    const auto settings = reloadSettings(path, parseEntrySettings);
-    if (!settings)
-        return;
-    setLogLevel(settings->logLevel);
-    logEvent(LogLevel::Info, "settings_reloaded", {{"vm", settings->vm}});
-}
-
-int run(const std::string &path)
-{
-    const auto settings = loadSettings("entry", path, parseEntrySettings);
-    if (!settings)
-        return settings.error();
-    startLogging(settings->logLevel);
-    ProcessSignals signals([&path] { reload(path); });
-    EntryNode node(*settings, platform::adapter());
-    if (!node.start()) {
-        stopLogging();
-        return ExitFailure;
-    }
-    signals.waitForStop();
-    node.stop();
-    logEvent(LogLevel::Info, "vm_stopped", {{"vm", settings->vm}});
-    stopLogging();
-    return ExitOk;
+    inForce.logLevel = wanted.logLevel;
+    inForce.stopPatience = wanted.stopPatience;
+    inForce.retryBudget = wanted.retryBudget;
+    inForce.replyMargin = wanted.replyMargin;
+    inForce.seeds = wanted.seeds;
+    node.apply(wanted);
 }
 
 } // namespace
@@ -61,7 +44,12 @@
         return operands.error();
     if (settings.empty() || !operands->empty())
         return usageError(Usage);
-    return run(settings);
+    return runNode(
+        "entry", settings, parseEntrySettings,
+        [](const EntrySettings &each) {
+            return std::make_unique<EntryNode>(each, platform::adapter());
+        },
+        apply);
 }
 
 } // namespace mangoshift
--- a/src/app/processsignals.cpp
+++ b/src/app/processsignals.cpp
@@ -1,13 +1,27 @@
 #include "app/processsignals.h"
 
+#include <chrono>
 #include <csignal>
 #include <utility>
 
+#include "app/files.h"
+
 namespace mangoshift {
 
-ProcessSignals::ProcessSignals(std::function<void()> onReload)
-    : m_stop(m_io, SIGTERM, SIGINT)
+namespace {
+
+/// How often the settings file is looked at: a changed limit is to be in force within seconds, and
+/// a look costs one read of a kilobyte.
+constexpr std::chrono::milliseconds FileCheckInterval{1000};
+
+} // namespace
+
+ProcessSignals::ProcessSignals(std::string settingsPath, std::function<void()> onReload)
+    : m_path(std::move(settingsPath))
+    , m_stop(m_io, SIGTERM, SIGINT)
     , m_reload(m_io, SIGHUP)
+    , m_fileTimer(m_io)
+    , m_text(readFile(m_path).value_or(""))
     , m_onReload(std::move(onReload))
 {
     // A peer that closes while it is written to shows in the write's error.
@@ -17,7 +31,11 @@
 void ProcessSignals::waitForStop()
 {
     awaitReload();
-    m_stop.async_wait([this](const asio::error_code &, int) { m_reload.cancel(); });
+    awaitChange();
+    m_stop.async_wait([this](const asio::error_code &, int) {
+        m_reload.cancel();
+        m_fileTimer.cancel();
+    });
     m_io.run();
 }
 
@@ -26,9 +44,29 @@
     m_reload.async_wait([this](const asio::error_code &error, int) {
         if (error)
             return;
-        m_onReload();
+        reload();
         awaitReload();
     });
 }
 
+void ProcessSignals::awaitChange()
+{
+    m_fileTimer.expires_after(FileCheckInterval);
+    m_fileTimer.async_wait([this](const asio::error_code &error) {
+        if (error)
+            return;
+        // A file that is just being replaced is looked at again the next time.
+        const auto text = readFile(m_path);
+        if (text && *text != m_text)
+            reload();
+        awaitChange();
+    });
+}
+
+void ProcessSignals::reload()
+{
+    m_text = readFile(m_path).value_or(m_text);
+    m_onReload();
+}
+
 } // namespace mangoshift
--- a/src/duties/messages.h
+++ b/src/duties/messages.h
@@ -155,6 +155,12 @@
     BudgetCounts counts;
 };
 
+/// Names other VMs to begin with.
+struct SeedsChanged
+{
+    std::vector<std::string> addresses;
+};
+
 /// Tells the other VMs that this one leaves.
 struct StartLeaving
 {
@@ -167,7 +173,7 @@
 using PeerMessage = std::variant<SendToVm, SendOnLink, MembersChanged, StateRequest>;
 using ControlMessage = std::variant<ControlFrame, PlatformDocument, PlatformList, HomesPaused,
                                     StartLeaving, StateRequest>;
-using RegistryMessage =
-    std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, BudgetQuestion, StartLeaving>;
+using RegistryMessage = std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, BudgetQuestion,
+                                     SeedsChanged, StartLeaving>;
 
 } // namespace mangoshift
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -30,13 +30,13 @@
     , m_adapter(adapter)
     , m_duty("entry", RingCapacity)
     , m_state{m_duty.io(),
-              m_settings,
               adapter,
               metrics,
               TargetDirectory(m_duty.io(), adapter.headers.target, settings.assumedVms),
               {},
               RetryBudgets(m_duty.io(), settings.retryBudget, settings.assumedVms,
-                           std::move(askPool))}
+                           std::move(askPool)),
+              settings.replyMargin}
     , m_filters(adapter.headers)
     , m_callers(m_duty.io(), settings.maxCallerConnections, callerEvents())
     , m_balancer(m_duty.io(), MaxBalancerConnections, readyEvents())
@@ -95,6 +95,11 @@
     post(std::move(grants));
 }
 
+void EntryDuty::setTerms(EntryTerms terms)
+{
+    post(terms);
+}
+
 void EntryDuty::setListed()
 {
     post(Listed{});
@@ -124,6 +129,10 @@
                           },
                           [this](FleetSize &fleet) { m_state.growFleet(fleet.vms); },
                           [this](BudgetGrants &grants) { m_state.budgets.onGrants(grants); },
+                          [this](EntryTerms &terms) {
+                              m_state.replyMargin = terms.replyMargin;
+                              m_state.budgets.setTerms(terms.retryBudget);
+                          },
                           [this](Leave &leave) {
                               m_isLeaving = true;
                               m_leavingSince = Clock::now();
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -48,6 +48,8 @@
     /// Takes in how many VMs there are at most; see `EntryState::growFleet`.
     void setFleetSize(std::size_t vms);
     void onBudgetGrants(BudgetGrants grants);
+    /// Takes over settings that can change in a running process.
+    void setTerms(EntryTerms terms);
     /// Reports not ready from now on, answers what comes, and ends connections until `deadline`.
     void startLeaving(Clock::time_point deadline);
     /// Returns true once a leaving VM has nothing more to answer.
@@ -76,7 +78,7 @@
         Clock::time_point deadline;
     };
     using Message = std::variant<RoutingChanged, TargetsChanged, Listed, FleetSize, BudgetGrants,
-                                 Leave, StateRequest>;
+                                 EntryTerms, Leave, StateRequest>;
 
     void post(Message message);
     void handle(Message &message);
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -121,6 +121,14 @@
     return true;
 }
 
+void EntryNode::apply(const EntrySettings &wanted)
+{
+    m_settings.stopPatience = wanted.stopPatience;
+    m_entry->setTerms({wanted.retryBudget, wanted.replyMargin});
+    if (!m_registry->tryPost(SeedsChanged{wanted.seeds}))
+        logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
+}
+
 void EntryNode::stop()
 {
     if (std::exchange(m_isStarted, false)) {
--- a/src/entry/entrynode.h
+++ b/src/entry/entrynode.h
@@ -23,6 +23,9 @@
 
     /// Returns false, having logged why, where an address cannot be listened on.
     bool start();
+    /// Takes over those settings that can change in a running process. Called on the thread that
+    /// calls `stop`.
+    void apply(const EntrySettings &wanted);
     /// Stops gracefully: answers what is under way, within the patience of the settings.
     void stop();
 
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -72,4 +72,30 @@
     return settings;
 }
 
+std::vector<std::string> fieldsThatNeedRestart(const EntrySettings &inForce,
+                                               const EntrySettings &wanted)
+{
+    std::vector<std::string> fields;
+    const auto compare = [&](const char *name, const auto &a, const auto &b) {
+        if (a != b)
+            fields.emplace_back(name);
+    };
+    const auto peerAddress = [](const EntrySettings &settings) {
+        return settings.peerAddress ? settings.peerAddress->toString() : std::string();
+    };
+    compare("vm", inForce.vm, wanted.vm);
+    compare("failure_domain", inForce.failureDomain, wanted.failureDomain);
+    compare("region", inForce.region, wanted.region);
+    compare("caller_address", inForce.callerAddress.toString(), wanted.callerAddress.toString());
+    compare("ready_address", inForce.readyAddress.toString(), wanted.readyAddress.toString());
+    compare("operator_address", inForce.operatorAddress.toString(),
+            wanted.operatorAddress.toString());
+    compare("store_address", inForce.storeAddress.toString(), wanted.storeAddress.toString());
+    compare("peer_address", peerAddress(inForce), peerAddress(wanted));
+    compare("assumed_vms", inForce.assumedVms, wanted.assumedVms);
+    compare("max_caller_connections", inForce.maxCallerConnections, wanted.maxCallerConnections);
+    compare("watch_wait_ms", inForce.watchWait, wanted.watchWait);
+    return fields;
+}
+
 } // namespace mangoshift
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -47,6 +47,10 @@
     LogLevel logLevel = LogLevel::Info;
 };
 
+/// Returns the names of the settings that differ and take force only at the next start.
+std::vector<std::string> fieldsThatNeedRestart(const EntrySettings &inForce,
+                                               const EntrySettings &wanted);
+
 /// Reads settings from JSON text. Checks the form by `schemas/entry.schema.json`, then the meaning;
 /// the error lists every fault of the first check that finds one.
 tl::expected<EntrySettings, Faults> parseEntrySettings(const std::string &text);
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -7,7 +8,6 @@
 #include <asio/io_context.hpp>
 
 #include "base/metrics.h"
-#include "entry/entrysettings.h"
 #include "entry/retrybudgets.h"
 #include "entry/targetdirectory.h"
 #include "entry/wireadapter.h"
@@ -24,16 +24,24 @@
     WeightedTurns turns;
 };
 
+/// Settings that can change in a running process.
+struct EntryTerms
+{
+    RetryBudgetTerms retryBudget;
+    std::chrono::milliseconds replyMargin{0};
+};
+
 /// What the exchanges of one entry duty share. Belongs to the duty's thread.
 struct EntryState
 {
     asio::io_context &io;
-    const EntrySettings &settings;
     const WireAdapter &adapter;
     Metrics &metrics;
     TargetDirectory directory;
     std::unordered_map<std::string, RouteState> routes;
     RetryBudgets budgets;
+    /// How long before the latency target an answer leaves.
+    std::chrono::milliseconds replyMargin;
 
     /// Takes in how many VMs there may be, if that is more than was known.
     void growFleet(std::size_t vms)
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -132,6 +132,10 @@
                                   onPeerFailure("lost");
                           },
                           [this](BudgetQuestion &question) { askPool(question); },
+                          [this](SeedsChanged &seeds) {
+                              if (m_members)
+                                  m_members->onList(membersOf(seeds.addresses), Clock::now());
+                          },
                           [this](LinkLost &lost) { m_questions.onLinkLost(lost.link); },
                           [this](StartLeaving &) {
                               if (m_members)
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -146,8 +146,8 @@
             m_route.partLatencies.quantile(HedgeQuantile),
             shareOf(route.latencyTarget, LeastHedgeShare), terms.hedgeDelay);
     terms.deadline = m_request.deadline;
-    m_replyBy = std::min(terms.deadline,
-                         m_request.receivedAt + route.latencyTarget - state.settings.replyMargin);
+    m_replyBy =
+        std::min(terms.deadline, m_request.receivedAt + route.latencyTarget - state.replyMargin);
     terms.replyBy = m_replyBy;
     m_machine.emplace(terms);
 }
--- a/src/entry/retrybudgets.cpp
+++ b/src/entry/retrybudgets.cpp
@@ -32,6 +32,14 @@
     return whole / static_cast<double>(m_fleetSize);
 }
 
+void RetryBudgets::setTerms(const RetryBudgetTerms &terms)
+{
+    if (terms == m_terms)
+        return;
+    m_terms = terms;
+    m_shares.clear();
+}
+
 void RetryBudgets::growFleet(std::size_t vms)
 {
     if (vms <= m_fleetSize)
--- a/src/entry/retrybudgets.h
+++ b/src/entry/retrybudgets.h
@@ -29,6 +29,8 @@
     RetryBudgets(asio::io_context &io, const RetryBudgetTerms &terms, std::size_t assumedVms,
                  AskPool askPool);
 
+    /// Takes over another budget. What was spent under the one before is forgotten.
+    void setTerms(const RetryBudgetTerms &terms);
     /// Takes in how many VMs there may be, if that is more than was known.
     void growFleet(std::size_t vms);
     std::size_t fleetSize() const { return m_fleetSize; }
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -309,3 +309,26 @@
     CHECK(system.vm().wait() == 0);
     CHECK(contains(system.log(), "event=vm_stopped"));
 }
+
+TEST_CASE("Settings that change while a VM runs")
+{
+    EntrySystem system;
+
+    SECTION("are taken over without a signal, and those that need a restart are named")
+    {
+        system.changeSettings(1, {{"stop_patience_ms", 1234}, {"watch_wait_ms", 600}});
+        CHECK(eventually([&] { return contains(system.log(), "event=settings_reloaded"); }));
+        CHECK(eventually([&] {
+            return contains(system.log(), "event=settings_need_restart field=watch_wait_ms");
+        }));
+        CHECK_FALSE(contains(system.log(), "field=stop_patience_ms"));
+    }
+    SECTION("and are at fault leave those in force, and the field is named")
+    {
+        system.changeSettings(1, {{"stop_patience_ms", "soon"}});
+        CHECK(eventually([&] {
+            return contains(system.log(), "event=settings_rejected field=/stop_patience_ms");
+        }));
+        CHECK(system.isReady());
+    }
+}
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -93,6 +93,15 @@
             "mangoshift", std::vector<std::string>{"entry", "--settings", path}, logPath(vm));
     }
 
+    /// Writes other settings into a VM's file.
+    void changeSettings(int vm, const nlohmann::json &changes)
+    {
+        const std::string path = m_folder + "/settings-" + std::to_string(vm) + ".json";
+        nlohmann::json settings = nlohmann::json::parse(std::ifstream(path));
+        settings.update(changes);
+        std::ofstream(path) << settings.dump();
+    }
+
     /// `all` fans out over three shards; `changing` is forwarded to `service`, `orders` may run
     /// once.
     void configure(int version, const std::string &service)
