End a stopped process at once, and explain a request from the logs

The destructors of the log library's static objects join its own threads, which did not end there. Ruled out: callers' connections and requests under way (vm_stopped comes 2.4 s after SIGTERM), the operators' HTTP server (stopped before it).

`mangoshift explain REQUEST LOG...` says what became of a request, why, and what its VM had logged before about the store, its configuration and the targets that failed.

--- a/src/app/command.h
+++ b/src/app/command.h
@@ -31,6 +31,7 @@
 int queryMain(int argc, char **argv);
 int submitMain(int argc, char **argv);
 int stateMain(int argc, char **argv);
+int explainMain(int argc, char **argv);
 int replayMain(int argc, char **argv);
 
 } // namespace mangoshift
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -11,6 +11,7 @@
         {"query", "send one query as a caller does", queryMain},
         {"submit", "run one request at most once, as a caller does", submitMain},
         {"state", "print the state dump of a running VM", stateMain},
+        {"explain", "say from logs what became of a request, and why", explainMain},
         {"replay", "replay recorded traces against stated outcomes", replayMain},
     };
     return all;
--- a/src/app/noderun.h
+++ b/src/app/noderun.h
@@ -13,8 +13,8 @@
 namespace mangoshift {
 
 /// Runs a VM from its settings until it is told to stop. `makeNode` takes the settings and returns
-/// the node, `apply` takes the node, the settings in force and those that are wanted. Returns the
-/// exit status.
+/// the node, `apply` takes the node, the settings in force and those that are wanted. Returns an
+/// exit status where the settings cannot be used; else the process ends here.
 template <typename Parse, typename MakeNode, typename Apply>
 int runNode(const char *command, const std::string &path, Parse parse, MakeNode makeNode,
             Apply apply)
@@ -40,15 +40,12 @@
         logEvent(LogLevel::Error, "listen_failed",
                  {{"field", "peer_address"}, {"why", error.code().message()}});
     }
-    if (!node || !node->start()) {
-        stopLogging();
-        return ExitFailure;
-    }
+    if (!node || !node->start())
+        endProcess(ExitFailure);
     signals.waitForStop();
     node->stop();
     logEvent(LogLevel::Info, "vm_stopped", {{"vm", inForce->vm}});
-    stopLogging();
-    return ExitOk;
+    endProcess(ExitOk);
 }
 
 } // namespace mangoshift
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdlib>
+#include <iostream>
 #include <memory>
 #include <utility>
 
@@ -95,6 +97,13 @@
         started->writer->stop(StopPatience);
 }
 
+void endProcess(int status)
+{
+    stopLogging();
+    std::cout.flush();
+    std::_Exit(status);
+}
+
 std::uint64_t logLinesLeftOut()
 {
     const Logging *started = logging;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -19,6 +19,10 @@
 /// Writes the lines that wait, for a moment at most. Call once, before the process ends.
 void stopLogging();
 
+/// Writes the lines that wait, and ends the process at once. Destructors of static objects do not
+/// run: those of the log library join threads of its own, which can outlast a graceful stop.
+[[noreturn]] void endProcess(int status);
+
 /// Returns how many lines were left out, for want of room or because they were too many.
 std::uint64_t logLinesLeftOut();
 
--- /dev/null
+++ b/test/unit/explanation_test.cpp
@@ -0,0 +1,113 @@
+#include <sstream>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "app/explanation.h"
+
+using namespace mangoshift;
+
+namespace {
+
+const std::string Partial =
+    "time=2026-12-04T10:00:02.000Z level=INFO event=request_ended request=p1 route=r "
+    "config_version=3 outcome=partial status=200 execution=ran reason=ok took_ms=50 parts=19/20 "
+    "hedges=1 retries=0 denied=0 missing=s7@i-a@i-b trace=20:sent:s7@i-b:extra\n";
+const std::string Unknown =
+    "time=2026-12-04T10:00:03.000Z level=INFO event=request_ended request=u1 route=o "
+    "config_version=3 outcome=error status=502 execution=may_have_run reason=lost took_ms=1 "
+    "parts=0/1 hedges=0 retries=0 denied=0 missing=orders@i-c trace=1:failed:orders@i-c:lost\n";
+const std::string Rejected =
+    "time=2026-12-04T10:00:04.000Z level=INFO event=request_rejected request=n1 host=h path=/x/ "
+    "config_version=0 status=503 reason=not_ready\n";
+const std::string Background =
+    "time=2026-12-04T10:00:00.000Z level=INFO event=vm_started vm=a-1 failure_domain=a\n"
+    "time=2026-12-04T10:00:00.100Z level=INFO event=configuration_adopted version=2 routes=3\n"
+    "time=2026-12-04T10:00:00.200Z level=INFO event=configuration_adopted version=3 routes=3\n"
+    "time=2026-12-04T10:00:01.000Z level=INFO event=target_draining target=i-b service=s7\n"
+    "time=2026-12-04T10:00:01.000Z level=INFO event=target_draining target=i-z service=s9\n"
+    "time=2026-12-04T10:00:01.500Z level=WARNING event=store_lost why=\"connect timeout\" "
+    "revision=9\n";
+
+Explanation only(const RequestSearch &search)
+{
+    const auto found = search.explanations();
+    REQUIRE(found.size() == 1);
+    return found.front();
+}
+
+bool contains(const std::string &text, const std::string &what)
+{
+    return text.find(what) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("A line of the log is read field by field")
+{
+    SECTION("also with quoted values, and behind what a collector puts before it")
+    {
+        const auto line =
+            parseLogLine("  41.5 vm-1 time=T level=INFO event=e why=\"a \\\"b\\\" c\" n=1");
+        REQUIRE(line);
+        CHECK(line->time == "T");
+        CHECK(line->event == "e");
+        CHECK(line->value("why") == "a \"b\" c");
+        CHECK(line->value("n") == "1");
+        CHECK(line->value("absent").empty());
+    }
+    SECTION("what is no event is none")
+    {
+        CHECK_FALSE(parseLogLine(""));
+        CHECK_FALSE(parseLogLine("terminate called"));
+        CHECK_FALSE(parseLogLine("time=T level=INFO"));
+    }
+}
+
+TEST_CASE("The logs alone tell why a request failed")
+{
+    std::istringstream log(Background + Partial + Unknown + Rejected);
+
+    SECTION("a partial answer: which shard was missing, and what was tried for it")
+    {
+        RequestSearch search("p1");
+        search.read("a-1", log);
+        const Explanation found = only(search);
+        CHECK(contains(found.cause, "s7@i-a@i-b"));
+        REQUIRE(found.steps.size() == 1);
+        CHECK(found.steps[0] == "after 20 ms: sent again, to target i-b of s7");
+        const std::string text = toText(found);
+        CHECK(contains(text, "target_draining service=s7 target=i-b"));
+        CHECK_FALSE(contains(text, "i-z"));
+        CHECK(contains(text, "configuration_adopted routes=3 version=3"));
+        CHECK_FALSE(contains(text, "version=2"));
+        CHECK(contains(text, "store_lost"));
+    }
+    SECTION("an order whose outcome is unknown: which target to ask")
+    {
+        RequestSearch search("u1");
+        search.read("a-1", log);
+        const Explanation found = only(search);
+        CHECK(contains(found.cause, "It may have run"));
+        CHECK(contains(found.cause, "orders@i-c"));
+        CHECK(contains(found.steps.at(0), "target i-c of orders failed"));
+    }
+    SECTION("a refusal: that nothing ran, and what the VM did not know")
+    {
+        RequestSearch search("n1");
+        search.read("a-1", log);
+        const Explanation found = only(search);
+        CHECK(contains(found.cause, "did not know the configuration"));
+        CHECK(contains(found.cause, "It has not run anywhere."));
+    }
+    SECTION("a request that no log names: how many lines were left out")
+    {
+        RequestSearch search("other");
+        std::istringstream more("time=T level=WARNING event=log_lines_left_out lines=12 "
+                                "since_start=12\n");
+        search.read("a-1", log);
+        search.read("a-2", more);
+        CHECK(search.explanations().empty());
+        CHECK(search.linesLeftOut() == 12);
+    }
+}
