Try each source of state once before any again, and admit old knowledge at once

The three watchers of its domain were cut off; each waited a second before it answered that its knowledge was old, and was left alone for two seconds after that: one of the three could always be asked again, so the store's turn never came, for 9 s. Ruled out: the store turning this VM away (it was not asked), a lost watch (it had none). Change: each source is tried once before any is tried again; a question is answered as soon as the knowledge behind it is too old to follow, 1.5 s in place of 2 s; in an outage of the store VMs that do not watch look for it every 2 s, as those that watch tell them. Test: unittests "A VM that does not watch*", failing first. One assertion there asked that a watcher comes before a store that has not had its turn; it now asks it of a store that has failed as well.

--- a/include/mangoshift/sourcepicker.h
+++ b/include/mangoshift/sourcepicker.h
@@ -74,6 +74,10 @@
     Clock::time_point m_startedAt;
     bool m_hasState = false;
     MemberViewPtr m_members;
+    bool hasFailed(const StoreSource &source) const;
+
+    /// What has failed since the last answer.
+    std::vector<StoreSource> m_failed;
     /// Until when the store, and each peer that has failed, are left alone.
     Clock::time_point m_storeAvoidedUntil{};
     bool m_hasStoreFailed = false;
--- a/src/core/sourcepicker.cpp
+++ b/src/core/sourcepicker.cpp
@@ -127,10 +127,23 @@
 
 std::optional<StoreSource> SourcePicker::pick(Clock::time_point now) const
 {
-    for (const StoreSource &source : sources(now))
-        if (avoidedUntil(source) <= now)
+    // Each is tried once before any is tried again: several that take their time to fail would else
+    // keep the last one from its turn.
+    std::optional<StoreSource> again;
+    for (const StoreSource &source : sources(now)) {
+        if (avoidedUntil(source) > now)
+            continue;
+        if (!hasFailed(source))
             return source;
-    return std::nullopt;
+        if (!again)
+            again = source;
+    }
+    return again;
+}
+
+bool SourcePicker::hasFailed(const StoreSource &source) const
+{
+    return std::find(m_failed.begin(), m_failed.end(), source) != m_failed.end();
 }
 
 Clock::time_point SourcePicker::retryAt(Clock::time_point now) const
@@ -143,6 +156,7 @@
 
 void SourcePicker::onAnswered(const StoreSource &source, Clock::time_point now)
 {
+    m_failed.clear();
     if (const auto *peer = std::get_if<FromPeer>(&source)) {
         m_peersAvoidedUntil.erase(peer->vm);
         if (m_hasStoreFailed)
@@ -156,6 +170,8 @@
 
 void SourcePicker::onFailed(const StoreSource &source, Clock::time_point retryAt)
 {
+    if (!hasFailed(source))
+        m_failed.push_back(source);
     if (const auto *peer = std::get_if<FromPeer>(&source)) {
         m_peersAvoidedUntil[peer->vm] = retryAt;
         return;
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -36,9 +36,10 @@
 constexpr milliseconds FirstAnswerPatience{300};
 /// How long a peer that did not answer is left alone: as long as a process takes to start again.
 constexpr milliseconds PeerAvoidance{2000};
-/// Knowledge of the store older than this is not followed where there is a better source: a wait,
-/// and as much again for the way here.
-constexpr milliseconds FreshFor{2000};
+/// Knowledge of the store this old is not followed where there is a better source: a wait, and half
+/// of it for a slow store. A configuration has three seconds to be in force, also where the VM that
+/// is followed has just been cut off.
+constexpr milliseconds FreshFor{1500};
 /// Targets that are remembered with their revisions: three times those of the size to design for.
 constexpr std::size_t RememberedTargets = 8192;
 
@@ -148,8 +149,10 @@
 {
     if (const wire::StatePullT *pull = message.frame->body.AsStatePull()) {
         const auto wait = std::min(milliseconds(pull->wait_ms), FollowedWait);
+        const Clock::time_point now = Clock::now();
+        // The answer does not wait for longer than it is worth following.
         const PeerQuestion question{message.link, pull->sequence, pull->after_revision,
-                                    Clock::now() + wait};
+                                    std::clamp(m_heardAt + FreshFor, now, now + wait)};
         if (m_hasListed && pull->after_revision < m_follower.revision())
             answer(question);
         else
@@ -396,7 +399,10 @@
                  {{"why", why}, {"revision", std::to_string(m_follower.revision())}});
     }
     const StoreStep step = m_follower.onFailure();
-    m_picker.onFailed(FromStore{}, now + std::get<WaitBeforeNext>(step).delay);
+    // Watchers notice first that the store is back; the others hear of it from them.
+    const milliseconds delay = std::get<WaitBeforeNext>(step).delay;
+    m_picker.onFailed(FromStore{},
+                      now + (m_picker.isWatcher() ? delay : std::max(delay, PeerAvoidance)));
     m_asking.reset();
     askNext();
 }
@@ -420,7 +426,9 @@
     if (!m_asking || !std::holds_alternative<FromPeer>(*m_asking))
         return;
     m_metrics.peerReads.Add({{"outcome", "failed"}}).Increment();
-    logEvent(LogLevel::Info, "peer_not_followed", {{"peer", nameOf(*m_asking)}, {"why", why}});
+    // In an outage every VM's knowledge grows old: only who is left is told.
+    logEvent(m_lastSource == m_asking ? LogLevel::Info : LogLevel::Debug, "peer_not_followed",
+             {{"peer", nameOf(*m_asking)}, {"why", why}});
     m_pullTimer.cancel();
     // What comes after this is not awaited any more.
     ++m_pullSequence;
@@ -435,7 +443,7 @@
         || reply.sequence != m_pullSequence)
         return;
     PeerState state = fromWire(reply);
-    const bool isFresh = state.revision != 0 && state.age <= FreshFor;
+    const bool isFresh = state.revision != 0 && state.age < FreshFor;
     const StoreSource source = *m_asking;
     takePeerState(std::move(state));
     if (!isFresh) {
--- a/test/unit/sourcepicker_test.cpp
+++ b/test/unit/sourcepicker_test.cpp
@@ -86,6 +86,28 @@
         }
         CHECK(asked.size() == 3);
         CHECK(isStore(picker.pick(Start)));
+        picker.onFailed(FromStore{}, Start + seconds(2));
+        CHECK_FALSE(isStore(picker.pick(Start + seconds(2))));
+    }
+    SECTION("comes to the store also where each watcher takes its time to fail")
+    {
+        Clock::time_point now = Start;
+        int asked = 0;
+        for (auto source = picker.pick(now); source && !isStore(source);
+             source = picker.pick(now)) {
+            now += seconds(1);
+            picker.onFailed(*source, now + seconds(2));
+            REQUIRE(++asked <= 3);
+        }
+        CHECK(isStore(picker.pick(now)));
+    }
+    SECTION("goes back to a watcher once it has been answered by the store")
+    {
+        for (auto source = picker.pick(Start); source && !isStore(source);
+             source = picker.pick(Start))
+            picker.onFailed(*source, Start + seconds(2));
+        picker.onAnswered(FromStore{}, Start + seconds(1));
+        CHECK(isStore(picker.pick(Start + seconds(1))));
         CHECK_FALSE(isStore(picker.pick(Start + seconds(2))));
     }
     SECTION("waits where all have failed, until the first may be asked again")
