--- a/docs/capacity.py
+++ b/docs/capacity.py
@@ -337,7 +337,7 @@
         ["calls to the store at 78 VMs", f"{PLATFORM_READS:,} /s",
          "757 in 48 s, the start of all VMs in them; 1,716 where each VM watched", "the bench's report"],
         ["in force everywhere", "13 s", "gathering 0.5 s, one answer of the store, one of a VM; where "
-         "the VM that is followed has just been cut off, 1.5 s more",
+         "the VM that is followed has just been cut off, 1.8 s more",
          "worked out, not measured at this size"],
         ["memory of a process", "32 MB for control", "7.5 MB at its peak, at 303 targets",
          "the bench's report"],
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -36,10 +36,10 @@
 constexpr milliseconds FirstAnswerPatience{300};
 /// How long a peer that did not answer is left alone: as long as a process takes to start again.
 constexpr milliseconds PeerAvoidance{2000};
-/// Knowledge of the store this old is not followed where there is a better source: a wait, and half
-/// of it for a slow store. A configuration has three seconds to be in force, also where the VM that
-/// is followed has just been cut off.
-constexpr milliseconds FreshFor{1500};
+/// Knowledge of the store this old is not followed where there is a better source: a wait, the half
+/// second for which changes are gathered, and a slow store's answer. A configuration has three
+/// seconds to be in force, also where the VM that is followed has just been cut off.
+constexpr milliseconds FreshFor{1800};
 /// Targets that are remembered with their revisions: three times those of the size to design for.
 constexpr std::size_t RememberedTargets = 8192;
 
