--- a/include/mangoshift/sourcepicker.h
+++ b/include/mangoshift/sourcepicker.h
@@ -26,6 +26,9 @@
 };
 using StoreSource = std::variant<FromStore, FromPeer>;
 
+/// Returns the VM's name, or `store`.
+std::string toString(const StoreSource &source);
+
 /// Decides where a VM asks for the state of the store: at the store, or at another VM.
 ///
 /// In each failure domain the first few VMs by rendezvous hash watch the store, so that its calls
--- a/src/core/sourcepicker.cpp
+++ b/src/core/sourcepicker.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+std::string toString(const StoreSource &source)
+{
+    const auto *peer = std::get_if<FromPeer>(&source);
+    return peer == nullptr ? "store" : peer->vm;
+}
+
 SourcePicker::SourcePicker(Member self, std::vector<std::string> seeds, Clock::time_point startedAt)
     : m_self(std::move(self))
     , m_seeds(std::move(seeds))
--- /dev/null
+++ b/src/entry/poolaccess.cpp
@@ -0,0 +1,71 @@
+#include "entry/poolaccess.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "entry/statewire.h"
+
+namespace mangoshift {
+
+PoolAccess::PoolAccess(Member self, const RetryBudgetTerms &terms, std::size_t assumedVms,
+                       Sinks sinks)
+    : m_self(std::move(self))
+    , m_assumedVms(assumedVms)
+    , m_sinks(std::move(sinks))
+    , m_pool(terms)
+    , m_keeper(m_self.vm)
+{
+}
+
+void PoolAccess::onMembers(const Membership &members, Clock::time_point now)
+{
+    const std::vector<MemberRecord> known = members.table();
+    const auto inDomain =
+        std::count_if(known.begin(), known.end(), [this](const MemberRecord &record) {
+            return record.member.failureDomain == m_self.failureDomain;
+        });
+    // As many VMs are assumed as the others assume, so that the pools' sum is at most the whole.
+    const auto all = std::max(known.size(), m_assumedVms);
+    m_pool.setSlackShare(PooledSlack * static_cast<double>(inDomain) / static_cast<double>(all));
+    m_keeper = poolKeeper(*members.view(), m_self);
+    m_pool.setKeeper(m_keeper == m_self.vm, now);
+}
+
+void PoolAccess::ask(const BudgetQuestion &question, Clock::time_point now)
+{
+    if (m_keeper == m_self.vm) {
+        m_sinks.onGrants({question.sequence, grant(question.wanted, now)});
+        return;
+    }
+    wire::BudgetAskT ask;
+    ask.sequence = question.sequence;
+    ask.counts = toWire(question.wanted);
+    m_sinks.sendToVm(m_keeper, makeFrame(std::move(ask)));
+}
+
+bool PoolAccess::onFrame(LinkId link, const wire::FrameT &frame, Clock::time_point now)
+{
+    if (const wire::BudgetAskT *ask = frame.body.AsBudgetAsk()) {
+        wire::BudgetGrantT reply;
+        reply.sequence = ask->sequence;
+        reply.counts = toWire(grant(fromWire(ask->counts), now));
+        m_sinks.sendOnLink(link, makeFrame(std::move(reply)));
+        return true;
+    }
+    const wire::BudgetGrantT *grants = frame.body.AsBudgetGrant();
+    if (grants == nullptr)
+        return false;
+    m_sinks.onGrants({grants->sequence, fromWire(grants->counts)});
+    return true;
+}
+
+BudgetCounts PoolAccess::grant(const BudgetCounts &wanted, Clock::time_point now)
+{
+    BudgetCounts granted;
+    for (const auto &[service, count] : wanted)
+        granted.emplace_back(service, m_pool.grant(service, count, now));
+    return granted;
+}
+
+} // namespace mangoshift
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -16,16 +16,13 @@
 #include "duties/memberexchange.h"
 #include "duties/messages.h"
 #include "entry/entrysettings.h"
+#include "entry/knownstate.h"
 #include "entry/peerquestions.h"
-#include "entry/statewire.h"
+#include "entry/poolaccess.h"
 #include "entry/storeconnection.h"
 #include "entry/wireadapter.h"
-#include "mangoshift/changelog.h"
-#include "mangoshift/retrypool.h"
-#include "mangoshift/routing.h"
 #include "mangoshift/sourcepicker.h"
 #include "mangoshift/storefollower.h"
-#include "mangoshift/targetregistry.h"
 
 namespace mangoshift {
 
@@ -69,15 +66,18 @@
 private:
     using Timer = asio::basic_waitable_timer<Clock>;
 
+    /// How long a question to another VM, or to the store where others rely on this VM, waits for a
+    /// change: a VM that is cut off is noticed within this time and the slack.
+    static constexpr std::chrono::milliseconds FollowedWait{1000};
+    /// How long a peer that did not answer is left alone: as long as a process takes to start
+    /// again.
+    static constexpr std::chrono::milliseconds PeerAvoidance{2000};
+
     void handle(RegistryMessage &message);
     void onFrame(ControlFrame &message);
     void onView(MemberViewPtr view);
     void armMemberTick();
 
-    void updatePool();
-    void askPool(BudgetQuestion &question);
-    BudgetCounts grantFromPool(const BudgetCounts &wanted);
-
     void askNext();
     void waitUntil(Clock::time_point at);
     void perform(const StoreStep &step);
@@ -97,13 +97,9 @@
     void take(const StoreEntry &entry, std::uint64_t revision);
     void takeConfiguration(const RoutingDocument &document, const std::string &bytes,
                            std::uint64_t revision);
-    void putTarget(const RegisteredTarget &target, std::uint64_t revision);
-    void removeTarget(const TargetId &id, std::uint64_t revision);
     void noteSource(const StoreSource &source);
-    void hear(Clock::time_point at);
-    void publish(std::vector<RegistryChange> changes, std::uint64_t revision);
+    void publish(std::vector<RegistryChange> changes);
     void armExpiry();
-    PeerState stateAfter(std::uint64_t revision) const;
     void answer(const PeerQuestion &question);
     void answerPeers();
     std::string stateJson() const;
@@ -116,20 +112,16 @@
     Duty<RegistryMessage> m_duty;
     StoreConnection m_connection;
     StoreFollower m_follower;
-    TargetRegistry m_registry;
-    ChangeLog m_changes;
+    KnownState m_known;
     SourcePicker m_picker;
     /// Without a peer address this VM knows of no others.
     std::unique_ptr<MemberExchange> m_members;
-    RetryPool m_pool;
-    VmId m_poolKeeper;
+    PoolAccess m_pool;
     PeerQuestions m_questions;
     Timer m_memberTick;
     Timer m_waitTimer;
     Timer m_pullTimer;
     Timer m_expiryTimer;
-    RoutingTablePtr m_routing;
-    std::string m_configuration;
     std::vector<RegisteredTarget> m_listed;
     /// What is being asked; no value while nothing is.
     std::optional<StoreSource> m_asking;
@@ -137,9 +129,6 @@
     std::uint64_t m_pullSequence = 0;
     Clock::time_point m_askedAt{};
     Clock::time_point m_awaySince{};
-    /// When the store was last heard, by this VM or by one that it asked.
-    Clock::time_point m_heardAt{};
-    bool m_hasListed = false;
 };
 
 } // namespace mangoshift
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -35,6 +35,10 @@
     const IncomingRequest &request() const { return m_request; }
 
 private:
+    /// How long a target works on for a caller that has left. The users count work half a second
+    /// after.
+    static constexpr std::chrono::milliseconds LeftPatience{250};
+
     struct Copy
     {
         TargetHandlePtr target;
--- /dev/null
+++ b/src/entry/requestexchange_answers.cpp
@@ -0,0 +1,174 @@
+// What an exchange tells: the answer to its caller, and to the log and the metrics how it came
+// about.
+
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <utility>
+
+#include "base/log.h"
+#include "entry/requestexchange.h"
+#include "http/httpstatus.h"
+#include "mangoshift/recordmerge.h"
+
+namespace mangoshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How long the answer to a copy that was not needed is awaited before its connection counts as
+/// silent: several of the targets' pauses.
+constexpr milliseconds LeftoverPatience{1500};
+/// How much of a request's decisions is kept; the first ones mostly explain the others.
+constexpr std::size_t MaxTraceBytes = 600;
+/// Of the requests that went well, one in so many is logged.
+constexpr std::size_t SampledOneIn = 64;
+
+int statusOf(const Verdict &verdict)
+{
+    if (verdict.execution == Execution::NotRun)
+        return httpstatus::ServiceUnavailable;
+    return verdict.reason == Reason::DeadlineExceeded ? httpstatus::GatewayTimeout
+                                                      : httpstatus::BadGateway;
+}
+
+std::string milliText(Clock::duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+} // namespace
+
+HttpResponse failureResponse(int status, const Verdict &verdict)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.add("Content-Type", "application/json");
+    if (status == httpstatus::ServiceUnavailable && verdict.retryAfter.count() > 0) {
+        std::array<char, 32> seconds{};
+        std::snprintf(seconds.data(), seconds.size(), "%.3f",
+                      std::chrono::duration<double>(verdict.retryAfter).count());
+        response.headers.add("Retry-After", seconds.data());
+    }
+    response.body = "{\"execution\":\"" + std::string(toString(verdict.execution))
+        + "\",\"reason\":\"" + std::string(toString(verdict.reason)) + "\"}";
+    return response;
+}
+
+HttpResponse RequestExchange::mergedAnswer() const
+{
+    const EntryHeaderNames &names = m_state.adapter.headers;
+    std::vector<std::string_view> bodies;
+    std::string receipts;
+    for (const Part &part : m_parts) {
+        if (part.receipt.empty())
+            continue;
+        bodies.push_back(part.body);
+        receipts += (receipts.empty() ? "" : ", ") + part.receipt;
+    }
+    HttpResponse response;
+    response.status = httpstatus::Ok;
+    response.headers.add(names.target.requestId, m_request.id);
+    response.headers.add(names.partReceipts, receipts);
+    response.headers.add(names.missingParts, std::to_string(m_parts.size() - bodies.size()));
+    response.body = greatestRecords(bodies, fanOut()->records);
+    return response;
+}
+
+HttpResponse RequestExchange::forwardedAnswer() const
+{
+    HttpResponse response;
+    response.status = m_response->status;
+    response.body = m_response->body;
+    for (const auto &[name, value] : m_response->headers.entries())
+        if (!isHopByHop(name, m_response->headers))
+            response.headers.add(name, value);
+    return response;
+}
+
+void RequestExchange::giveAnswer()
+{
+    const bool isPartial = m_machine->answeredParts() < m_parts.size();
+    HttpResponse response = fanOut() != nullptr ? mergedAnswer() : forwardedAnswer();
+    report(response.status, isPartial ? "partial" : "complete", {Execution::Ran, Reason::Ok});
+    m_request.connection->respond(std::move(response));
+    finish(LeftoverPatience);
+}
+
+void RequestExchange::giveFailure(const Verdict &verdict)
+{
+    if (fanOut() == nullptr && m_response && verdict.execution == Execution::Ran) {
+        report(m_response->status, "target_failure", verdict);
+        m_request.connection->respond(forwardedAnswer());
+    } else {
+        const int status = statusOf(verdict);
+        report(status, verdict.execution == Execution::NotRun ? "refused" : "error", verdict);
+        m_request.connection->respond(failureResponse(status, verdict));
+    }
+    finish(LeftPatience);
+}
+
+void RequestExchange::note(const char *what, const std::string &service, const TargetId &target,
+                           const char *why)
+{
+    if (m_trace.size() >= MaxTraceBytes)
+        return;
+    m_trace += m_trace.empty() ? "" : ";";
+    m_trace += milliText(Clock::now() - m_request.receivedAt);
+    m_trace += std::string(":") + what + ":" + service;
+    m_trace += target.empty() ? "" : "@" + target;
+    m_trace += *why == '\0' ? "" : std::string(":") + why;
+}
+
+std::string RequestExchange::missingParts() const
+{
+    std::string missing;
+    for (const Part &part : m_parts) {
+        if (!part.receipt.empty())
+            continue;
+        missing += (missing.empty() ? "" : ",") + part.service;
+        for (const Copy &copy : part.copies)
+            missing += "@" + copy.target->info.id;
+        if (missing.size() >= MaxTraceBytes)
+            break;
+    }
+    return missing;
+}
+
+void RequestExchange::report(int status, const char *outcome, const Verdict &verdict) const
+{
+    const Clock::duration took = Clock::now() - m_request.receivedAt;
+    const Route &route = *m_request.route;
+    m_state.metrics.entryRequests
+        .Add({{"route", route.name},
+              {"outcome", outcome},
+              {"reason", std::string(toString(verdict.reason))}})
+        .Increment();
+    m_state.metrics.entrySeconds.Add({{"route", route.name}}, latencyBuckets())
+        .Observe(std::chrono::duration<double>(took).count());
+    const bool isLate = took > route.latencyTarget;
+    const bool isOrdinary =
+        verdict.isOk() && !isLate && m_machine->answeredParts() == m_parts.size();
+    // By the id, so that all VMs that see a request keep it or leave it out.
+    if (isOrdinary && std::hash<std::string>()(m_request.id) % SampledOneIn != 0)
+        return;
+    logEvent(LogLevel::Info, "request_ended",
+             {{"request", m_request.id},
+              {"route", route.name},
+              {"config_version", std::to_string(m_request.routing->version())},
+              {"outcome", outcome},
+              {"status", std::to_string(status)},
+              {"execution", std::string(toString(verdict.execution))},
+              {"reason", std::string(toString(verdict.reason))},
+              {"took_ms", milliText(took)},
+              {"parts",
+               std::to_string(m_machine->answeredParts()) + "/" + std::to_string(m_parts.size())},
+              {"hedges", std::to_string(m_hedges)},
+              {"retries", std::to_string(m_retries)},
+              {"denied", std::to_string(m_denied)},
+              {"missing", missingParts()},
+              {"trace", m_trace}});
+}
+
+} // namespace mangoshift
