--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -44,6 +44,7 @@
 std::vector<Member> membersOf(const std::vector<std::string> &seeds)
 {
     std::vector<Member> members;
+    members.reserve(seeds.size());
     for (const std::string &seed : seeds)
         members.push_back({seed, "", "", seed});
     return members;
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -92,7 +92,7 @@
     void askPeer(const VmId &vm);
     void onPeerState(wire::StateReplyT &reply);
     void onPeerFailure(const char *why);
-    void takePeerState(PeerState state);
+    void takePeerState(const PeerState &state);
 
     void take(const StoreEntry &entry, std::uint64_t revision);
     void takeConfiguration(const RoutingDocument &document, const std::string &bytes,
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -78,10 +78,10 @@
     if (!m_asking || !std::holds_alternative<FromPeer>(*m_asking)
         || reply.sequence != m_pullSequence)
         return;
-    PeerState state = fromWire(reply);
+    const PeerState state = fromWire(reply);
     const bool isFresh = state.revision != 0 && state.age < FreshFor;
     const StoreSource source = *m_asking;
-    takePeerState(std::move(state));
+    takePeerState(state);
     if (!isFresh) {
         onPeerFailure("its knowledge is old");
         return;
@@ -94,7 +94,7 @@
     askNext();
 }
 
-void RegistryDuty::takePeerState(PeerState state)
+void RegistryDuty::takePeerState(const PeerState &state)
 {
     const Clock::time_point now = Clock::now();
     if (state.revision == 0 || (m_known.isKnown() && state.revision < m_follower.revision()))
--- a/test/unit/retrypool_test.cpp
+++ b/test/unit/retrypool_test.cpp
@@ -85,14 +85,14 @@
 
 TEST_CASE("Shares and pools of all VMs together stay within the budget")
 {
-    constexpr int Vms = 60;
-    constexpr int Domains = 3;
+    constexpr int vms = 60;
+    constexpr int domains = 3;
     for (unsigned seed = 0; seed < 20; ++seed) {
         std::mt19937 random(seed);
-        std::vector<RetryShare> shares(Vms, RetryShare(Terms, (1.0 - PooledSlack) / Vms));
-        std::vector<RetryPool> pools(Domains, RetryPool(Terms));
+        std::vector<RetryShare> shares(vms, RetryShare(Terms, (1.0 - PooledSlack) / vms));
+        std::vector<RetryPool> pools(domains, RetryPool(Terms));
         for (RetryPool &pool : pools) {
-            pool.setSlackShare(PooledSlack / Domains);
+            pool.setSlackShare(PooledSlack / domains);
             pool.setKeeper(true, Start - seconds(60));
         }
         std::vector<Clock::time_point> firsts;
@@ -101,10 +101,10 @@
         // Requests reach few VMs at a time, and every one of them would be hedged.
         for (int i = 0; i < 6000; ++i) {
             now += milliseconds(1 + random() % 9);
-            const std::size_t vm = (random() % 6 + static_cast<std::size_t>(i) / 500) % Vms;
+            const std::size_t vm = (random() % 6 + static_cast<std::size_t>(i) / 500) % vms;
             firsts.push_back(now);
             shares[vm].onFirst(now);
-            if (shares[vm].trySpend(now) || pools[vm % Domains].grant("s", 1, now) == 1)
+            if (shares[vm].trySpend(now) || pools[vm % domains].grant("s", 1, now) == 1)
                 extras.push_back(now);
             const auto inWindow = [&](const std::vector<Clock::time_point> &times) {
                 return static_cast<double>(
