--- a/docs/capacity.py
+++ b/docs/capacity.py
@@ -326,7 +326,7 @@
     watchers = 3 * DOMAINS
     page.add("## The routed path (`mangoshift entry`) at this size\n")
     page.add("Each VM sends to targets itself; three VMs of each failure domain watch the store for "
-             "the others. From the users' bench, quiet-1 of rhp-search-grown: 78 VMs, 303 targets.\n")
+             "the others. From the users' bench, quiet-1 of rhp-search-grown: 78 VMs, 280 targets.\n")
     page.table(["what", "bound", "at this size", "from"], [
         ["connections at a target", "25 to 100",
          f"at least {NODES}: **does not fit**; homes or subsets have to share them",
@@ -335,11 +335,11 @@
          f"{watchers} /s at rest, and at most {watchers * 2} /s while changes come without end",
          "a watch of 1 s, changes gathered for 500 ms"],
         ["calls to the store at 78 VMs", f"{PLATFORM_READS:,} /s",
-         "757 in 48 s, the start of all VMs in them; 1,716 where each VM watched", "the bench's report"],
+         "757 in a day of 58 s, the start of all VMs in them; 1,716 where each VM watched", "the bench's report"],
         ["in force everywhere", "13 s", "gathering 0.5 s, one answer of the store, one of a VM; where "
          "the VM that is followed has just been cut off, 1.8 s more",
          "worked out, not measured at this size"],
-        ["memory of a process", "32 MB for control", "7.5 MB at its peak, at 303 targets",
+        ["memory of a process", "32 MB for control", "7.5 MB at its peak, at 280 targets",
          "the bench's report"],
         ["processor", "2.8% of a core for control",
          "0.0030 cores in all at some 0.6 requests a second a VM, each to 90 targets; control alone "
