Play randomized faults on the real programs, and judge what callers and servers saw

A soak of the project's own: a store, servers and VMs as separate processes, a relay that plays the network, and a plan of overlapping faults that follows from a seed. The judge holds a run to what must always hold, and to the stated times where nothing disturbs a VM.

--- a/standins/fakeservers.cpp
+++ b/standins/fakeservers.cpp
@@ -1,170 +1,101 @@
 // A stand-in for the platform's servers: one process, any number of servers.
 //
-// Arguments: ORDERS-ADDRESS, then ID=ADDRESS=SERVICE for each server. A server runs each request
-// that names it, with a receipt and 16-byte records made from its service's name. Orders:
+//     fakeservers [OPTION...] ORDERS-ADDRESS ID=ADDRESS=SERVICE...
 //
-//     POST /mode?ID  "ok", "shed" (503, not run), "lose" (runs, then resets), "extra" (a second
-//     answer
-//                    behind each), "cut" (half an answer), "fail" (500), "mute" (runs, never
-//                    answers)
-//     GET /ran       a JSON object: for each request id the ids of the servers that ran it
-//     GET /arrivals  how many requests have reached the servers, those that were refused included
+// A server runs each request that names it, with a receipt and 16-byte records made from its
+// service's name, and from the request where `--records-by-id` is given. Options, for all servers:
+// --work-ms, --slots, --queue, --connections, --pause-ms, --pause-every-ms, --events FILE (a line
+// for each arrival, run, refusal, end and cancellation). Orders:
+//
+//     POST /mode?ID      how the server behaves, see `Server::mode`
+//     POST /end?ID       the server ends; its address refuses connections
+//     POST /replace?ID   the body NEW-ID=SERVICE takes over the address
+//     GET /ran           a JSON object: for each request id the ids of the servers that ran it
+//     GET /arrivals      how many requests have reached the servers, refused ones included
 
 #include <cstdio>
+#include <cstdlib>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include <getopt.h>
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
 #include "base/address.h"
+#include "fakeservers/server.h"
 #include "http/callerlistener.h"
-#include "http/httpparser.h"
 
 namespace {
 
 using namespace mangoshift;
 using asio::ip::tcp;
+using std::chrono::milliseconds;
 using Json = nlohmann::json;
+using Servers = std::vector<std::unique_ptr<Server>>;
 
-constexpr std::size_t RecordLength = 16;
-constexpr std::size_t RecordsEach = 4;
-
-using RanLog = std::map<std::string, std::vector<std::string>>;
-
-struct ServerState
+struct Arguments
 {
-    std::string id;
-    std::string service;
-    std::string mode = "ok";
-    std::uint64_t ran = 0;
-    RanLog *log = nullptr;
-    std::uint64_t arrivals = 0;
+    ServerOptions options;
+    std::string events;
+    std::string orders;
+    std::vector<std::string> servers;
 };
 
-/// One connection to one server.
-class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+Arguments parseArguments(int argc, char **argv)
 {
-public:
-    ServerConnection(tcp::socket socket, ServerState &server)
-        : m_socket(std::move(socket))
-        , m_server(server)
-        , m_parser(HttpParser::Side::Requests, {})
-    {
-    }
-
-    void read()
-    {
-        m_socket.async_read_some(
-            asio::buffer(m_buffer),
-            [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
-                if (error)
-                    return;
-                self->take(self->m_buffer.data(), size);
-                if (self->m_socket.is_open())
-                    self->read();
-            });
-    }
-
-private:
-    void take(const char *bytes, std::size_t size)
-    {
-        while (size > 0 && m_socket.is_open()) {
-            const std::size_t taken = m_parser.feed(bytes, size);
-            bytes += taken;
-            size -= taken;
-            if (!m_parser.isComplete())
-                return;
-            answer(m_parser.takeRequest());
+    static const option known[] = {{"work-ms", required_argument, nullptr, 'w'},
+                                   {"slots", required_argument, nullptr, 's'},
+                                   {"queue", required_argument, nullptr, 'q'},
+                                   {"connections", required_argument, nullptr, 'c'},
+                                   {"pause-ms", required_argument, nullptr, 'p'},
+                                   {"pause-every-ms", required_argument, nullptr, 'v'},
+                                   {"events", required_argument, nullptr, 'e'},
+                                   {"records-by-id", no_argument, nullptr, 'r'},
+                                   {nullptr, 0, nullptr, 0}};
+    Arguments arguments;
+    ServerOptions &options = arguments.options;
+    for (int c = 0; (c = getopt_long(argc, argv, "", known, nullptr)) != -1;) {
+        const std::string value = optarg == nullptr ? "" : optarg;
+        switch (c) {
+        case 'w':
+            options.work = milliseconds(std::stoi(value));
+            break;
+        case 's':
+            options.slots = std::stoul(value);
+            break;
+        case 'q':
+            options.queue = std::stoul(value);
+            break;
+        case 'c':
+            options.connections = std::stoul(value);
+            break;
+        case 'p':
+            options.pause = milliseconds(std::stoi(value));
+            break;
+        case 'v':
+            options.pauseEvery = milliseconds(std::stoi(value));
+            break;
+        case 'e':
+            arguments.events = value;
+            break;
+        case 'r':
+            options.hasRecordsById = true;
+            break;
+        default:
+            throw std::runtime_error("an option is not known");
         }
     }
-
-    void answer(const HttpRequest &request)
-    {
-        const std::string id(request.headers.value("x-request-id"));
-        ++m_server.arrivals;
-        const std::string_view expected = request.headers.value("x-expect-instance");
-        if (!expected.empty() && expected != m_server.id) {
-            send(refusal(421));
-            return;
-        }
-        if (m_server.mode == "shed") {
-            send(refusal(503));
-            return;
-        }
-        (*m_server.log)[id].push_back(m_server.id);
-        const std::string bytes = answerBytes(id);
-        if (m_server.mode == "mute")
-            return;
-        if (m_server.mode == "lose") {
-            reset();
-        } else if (m_server.mode == "cut") {
-            send(bytes.substr(0, bytes.size() - RecordLength));
-            asio::error_code ignored;
-            m_socket.close(ignored);
-        } else {
-            send(bytes + (m_server.mode == "extra" ? bytes : ""));
-        }
-    }
-
-    std::string answerBytes(const std::string &id)
-    {
-        HttpResponse response;
-        response.status = m_server.mode == "fail" ? 500 : 200;
-        response.headers.add("X-Request-Id", id);
-        response.headers.add("X-Server-Stamp", m_server.id + "." + std::to_string(++m_server.ran));
-        for (std::size_t i = 0; i < RecordsEach; ++i) {
-            std::string record = std::to_string(i) + m_server.service;
-            record.resize(RecordLength, '.');
-            response.body += record;
-        }
-        std::string bytes;
-        appendResponse(bytes, response, false);
-        return bytes;
-    }
-
-    static std::string refusal(int status)
-    {
-        HttpResponse response;
-        response.status = status;
-        if (status != 421)
-            response.headers.add("X-Not-Executed", "1");
-        std::string bytes;
-        appendResponse(bytes, response, false);
-        return bytes;
-    }
-
-    void send(const std::string &bytes)
-    {
-        asio::error_code ignored;
-        asio::write(m_socket, asio::buffer(bytes), ignored);
-    }
-
-    void reset()
-    {
-        asio::error_code ignored;
-        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        m_socket.close(ignored);
-    }
-
-    tcp::socket m_socket;
-    ServerState &m_server;
-    HttpParser m_parser;
-    std::array<char, 16U << 10U> m_buffer{};
-};
-
-void accept(tcp::acceptor &acceptor, ServerState &server)
-{
-    acceptor.async_accept([&acceptor, &server](const asio::error_code &error, tcp::socket socket) {
-        if (error)
-            return;
-        std::make_shared<ServerConnection>(std::move(socket), server)->read();
-        accept(acceptor, server);
-    });
+    if (argc - optind < 2)
+        throw std::runtime_error("an address for orders and a server are needed");
+    arguments.orders = argv[optind];
+    arguments.servers.assign(argv + optind + 1, argv + argc);
+    return arguments;
 }
 
 tcp::endpoint endpointOf(const std::string &text)
@@ -175,22 +106,49 @@
     return {asio::ip::make_address(address->ip), address->port};
 }
 
-CallerEvents orderEvents(std::vector<std::unique_ptr<ServerState>> &servers, const RanLog &log)
+std::string ranJson(const Servers &servers)
+{
+    std::map<std::string, std::vector<std::string>> ran;
+    for (const auto &server : servers)
+        for (const auto &[request, times] : server->ran)
+            for (std::size_t i = 0; i < times; ++i)
+                ran[request].push_back(server->id());
+    return Json(ran).dump();
+}
+
+std::string arrivalsText(const Servers &servers)
+{
+    std::uint64_t arrivals = 0;
+    for (const auto &server : servers)
+        arrivals += server->arrivals;
+    return std::to_string(arrivals);
+}
+
+void obey(Server &server, const std::string &order, const std::string &body)
+{
+    if (order == "/mode")
+        server.mode = body;
+    else if (order == "/end")
+        server.close();
+    else if (order == "/replace")
+        server.becomeOther(body.substr(0, body.find('=')), body.substr(body.find('=') + 1));
+}
+
+CallerEvents orderEvents(const Servers &servers)
 {
     CallerEvents events;
-    events.onRequest = [&servers, &log](const CallerConnectionPtr &connection,
-                                        const HttpRequest &request) {
+    events.onRequest = [&servers](const CallerConnectionPtr &connection,
+                                  const HttpRequest &request) {
         HttpResponse response;
         response.status = 200;
-        std::uint64_t arrivals = 0;
-        for (const auto &server : servers)
-            arrivals += server->arrivals;
+        const std::size_t mark = request.target.find('?');
+        const std::string id = request.target.substr(mark + 1);
         if (request.method == "GET")
-            response.body = request.target == "/ran" ? Json(log).dump() : std::to_string(arrivals);
-        const std::string id = request.target.substr(request.target.find('?') + 1);
-        for (const auto &server : servers)
-            if (request.method == "POST" && server->id == id)
-                server->mode = request.body;
+            response.body = request.target == "/ran" ? ranJson(servers) : arrivalsText(servers);
+        else
+            for (const auto &server : servers)
+                if (server->id() == id)
+                    obey(*server, request.target.substr(0, mark), request.body);
         connection->respond(std::move(response));
     };
     events.onLeft = [](const CallerConnectionPtr &) {};
@@ -198,30 +156,22 @@
     return events;
 }
 
-int run(int argc, char **argv)
+int run(const Arguments &arguments)
 {
-    asio::io_context io;
-    RanLog log;
-    std::vector<std::unique_ptr<ServerState>> servers;
-    std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
-    for (int i = 2; i < argc; ++i) {
-        const std::string text = argv[i];
+    asio::io_context io(1);
+    EventFile events(arguments.events);
+    Servers servers;
+    for (const std::string &text : arguments.servers) {
         const std::size_t first = text.find('=');
         const std::size_t second = text.find('=', first + 1);
-        servers.push_back(std::make_unique<ServerState>());
-        servers.back()->id = text.substr(0, first);
-        servers.back()->service = text.substr(second + 1);
-        servers.back()->log = &log;
-        acceptors.push_back(std::make_unique<tcp::acceptor>(
-            io, endpointOf(text.substr(first + 1, second - first - 1))));
-        accept(*acceptors.back(), *servers.back());
-    }
-    CallerListener orders(io, 64, orderEvents(servers, log));
-    const auto address = parseAddress(argv[1]);
-    if (!address || !orders.listen(*address)) {
-        std::fputs("fakeservers: the orders address cannot be listened on\n", stderr);
-        return 3;
+        servers.push_back(std::make_unique<Server>(
+            io, text.substr(0, first), text.substr(second + 1), arguments.options, events));
+        servers.back()->open(endpointOf(text.substr(first + 1, second - first - 1)));
     }
+    CallerListener orders(io, 64, orderEvents(servers));
+    const auto address = parseAddress(arguments.orders);
+    if (!address || !orders.listen(*address))
+        throw std::runtime_error("the orders address cannot be listened on");
     io.run();
     return 0;
 }
@@ -230,12 +180,8 @@
 
 int main(int argc, char **argv)
 {
-    if (argc < 3) {
-        std::fputs("Usage: fakeservers ORDERS-ADDRESS ID=ADDRESS=SERVICE...\n", stderr);
-        return 2;
-    }
     try {
-        return run(argc, argv);
+        return run(parseArguments(argc, argv));
     } catch (const std::exception &error) {
         std::fprintf(stderr, "fakeservers: %s\n", error.what());
         return 3;
--- /dev/null
+++ b/standins/fakeservers/connection.cpp
@@ -0,0 +1,71 @@
+#include "fakeservers/connection.h"
+
+#include <utility>
+
+#include <asio/write.hpp>
+
+#include "fakeservers/server.h"
+
+namespace mangoshift {
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket, Server &server)
+    : m_socket(std::move(socket))
+    , m_server(server)
+    , m_parser(HttpParser::Side::Requests, {})
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void ServerConnection::read()
+{
+    m_socket.async_read_some(
+        asio::buffer(m_buffer),
+        [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
+            if (error) {
+                self->close();
+                self->m_server.onClosed(self);
+                return;
+            }
+            self->take(self->m_buffer.data(), size);
+            if (self->isOpen())
+                self->read();
+        });
+}
+
+void ServerConnection::take(const char *bytes, std::size_t size)
+{
+    while (size > 0 && isOpen()) {
+        const std::size_t taken = m_parser.feed(bytes, size);
+        bytes += taken;
+        size -= taken;
+        if (m_parser.fault() != HttpFault::None) {
+            reset();
+            return;
+        }
+        if (!m_parser.isComplete())
+            return;
+        m_server.onRequest(shared_from_this(), m_parser.takeRequest());
+    }
+}
+
+void ServerConnection::send(const std::string &bytes)
+{
+    asio::error_code ignored;
+    asio::write(m_socket, asio::buffer(bytes), ignored);
+}
+
+void ServerConnection::close()
+{
+    asio::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void ServerConnection::reset()
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/standins/fakeservers/server.cpp
@@ -0,0 +1,249 @@
+#include "fakeservers/server.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include "fakeservers/connection.h"
+#include "fakeservers/records.h"
+
+namespace mangoshift {
+
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr int SlowFactor = 5;
+/// How long a request may take that states no time of its own.
+constexpr milliseconds DefaultDeadline{60'000};
+
+milliseconds timeLeft(const HttpRequest &request)
+{
+    const std::string_view text = request.headers.value("x-deadline-ms");
+    std::int64_t left = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), left);
+    return parsed.ec == std::errc() ? milliseconds(left) : DefaultDeadline;
+}
+
+} // namespace
+
+Server::Server(asio::io_context &io, std::string id, std::string service,
+               const ServerOptions &options, EventFile &events)
+    : m_io(io)
+    , m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_options(options)
+    , m_events(events)
+    , m_pauseOffset(XXH64(m_id.data(), m_id.size(), 0)
+                    % static_cast<std::uint64_t>(options.pauseEvery.count()))
+{
+}
+
+void Server::open(const tcp::endpoint &endpoint)
+{
+    m_endpoint = endpoint;
+    m_acceptor = std::make_unique<tcp::acceptor>(m_io, endpoint);
+    accept();
+}
+
+void Server::close()
+{
+    m_acceptor.reset();
+    m_running.clear();
+    m_queued.clear();
+    for (const auto &weak : std::exchange(m_connections, {}))
+        if (const auto connection = weak.lock())
+            connection->reset();
+}
+
+void Server::becomeOther(std::string id, std::string service)
+{
+    close();
+    m_id = std::move(id);
+    m_service = std::move(service);
+    mode = "ok";
+    ran.clear();
+    open(m_endpoint);
+}
+
+void Server::accept()
+{
+    m_acceptor->async_accept([this](const asio::error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        std::erase_if(m_connections, [](const auto &weak) { return weak.expired(); });
+        const auto connection = std::make_shared<ServerConnection>(std::move(socket), *this);
+        if (error || m_connections.size() >= m_options.connections) {
+            connection->reset();
+        } else {
+            m_connections.push_back(connection);
+            connection->read();
+        }
+        accept();
+    });
+}
+
+void Server::note(const char *event, const std::string &requestId, const std::string &more)
+{
+    if (!m_events.isKept())
+        return;
+    const auto now = Clock::now().time_since_epoch();
+    const nlohmann::json line{
+        {"at_us", std::chrono::duration_cast<std::chrono::microseconds>(now).count()},
+        {"event", event},
+        {"server", m_id},
+        {"service", m_service},
+        {"request", requestId},
+        {"what", more}};
+    m_events.write(line.dump());
+}
+
+void Server::onRequest(const ConnectionPtr &connection, const HttpRequest &request)
+{
+    if (request.target == "/health") {
+        answerHealth(connection);
+        return;
+    }
+    const std::string requestId(request.headers.value("x-request-id"));
+    ++arrivals;
+    note("arrived", requestId, request.method + " " + request.target + " " + request.body);
+    const std::string_view expected = request.headers.value("x-expect-instance");
+    if (!expected.empty() && expected != m_id) {
+        refuse(connection, requestId, 421);
+        return;
+    }
+    const bool isFull = m_options.slots > 0 && m_running.size() >= m_options.slots;
+    if (requestId.empty() || mode == "shed" || (isFull && m_queued.size() >= m_options.queue)) {
+        refuse(connection, requestId, requestId.empty() ? 400 : 503);
+        return;
+    }
+    Job job{++m_lastJob, connection, requestId, Clock::now() + timeLeft(request), nullptr};
+    if (isFull)
+        m_queued.push_back(std::move(job));
+    else
+        startJob(std::move(job));
+}
+
+void Server::answerHealth(const ConnectionPtr &connection) const
+{
+    HttpResponse response;
+    response.status = 200;
+    response.headers.add("X-Instance-Id", m_id);
+    std::string bytes;
+    appendResponse(bytes, response, false);
+    connection->send(bytes);
+}
+
+void Server::refuse(const ConnectionPtr &connection, const std::string &requestId, int status)
+{
+    note("refused", requestId, std::to_string(status));
+    HttpResponse response;
+    response.status = status;
+    if (status != 421)
+        response.headers.add("X-Not-Executed", "1");
+    std::string bytes;
+    appendResponse(bytes, response, false);
+    connection->send(bytes);
+}
+
+milliseconds Server::pauseLeft(Clock::time_point now) const
+{
+    if (m_options.pause.count() == 0)
+        return milliseconds(0);
+    const auto since = std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+    const milliseconds phase = (since + m_pauseOffset) % m_options.pauseEvery;
+    return std::max(milliseconds(0), m_options.pause - phase);
+}
+
+void Server::startJob(Job job)
+{
+    ++ran[job.requestId];
+    note("ran", job.requestId);
+    if (m_options.work.count() == 0) {
+        answer(job, true);
+        return;
+    }
+    const Clock::time_point now = Clock::now();
+    const milliseconds work = m_options.work * (mode == "slow" ? SlowFactor : 1) + pauseLeft(now);
+    const Clock::time_point end = std::min(now + work, job.deadline);
+    job.timer = std::make_unique<asio::basic_waitable_timer<Clock>>(m_io, end);
+    job.timer->async_wait([this, number = job.number](const asio::error_code &error) {
+        if (!error)
+            finishJob(number);
+    });
+    m_running.push_back(std::move(job));
+}
+
+void Server::finishJob(std::uint64_t number)
+{
+    const auto job = std::find_if(m_running.begin(), m_running.end(),
+                                  [number](const Job &each) { return each.number == number; });
+    if (job == m_running.end())
+        return;
+    const Job done = std::move(*job);
+    m_running.erase(job);
+    note("ended", done.requestId);
+    answer(done, Clock::now() < done.deadline);
+    startNext();
+}
+
+void Server::startNext()
+{
+    while (!m_queued.empty() && m_running.size() < m_options.slots) {
+        Job next = std::move(m_queued.front());
+        m_queued.pop_front();
+        if (Clock::now() < next.deadline)
+            startJob(std::move(next));
+        else
+            refuse(next.connection, next.requestId, 503);
+    }
+}
+
+void Server::onClosed(const ConnectionPtr &connection)
+{
+    const auto isOfIt = [&connection](const Job &job) { return job.connection == connection; };
+    for (const Job &job : m_running)
+        if (isOfIt(job))
+            note("cancelled", job.requestId);
+    std::erase_if(m_running, isOfIt);
+    std::erase_if(m_queued, isOfIt);
+    startNext();
+}
+
+void Server::answer(const Job &job, bool isInTime)
+{
+    const ConnectionPtr &connection = job.connection;
+    if (mode == "mute")
+        return;
+    if (mode == "lose") {
+        connection->reset();
+        return;
+    }
+    const int status = isInTime ? 200 : 504;
+    const std::string bytes = answerBytes(job.requestId, mode == "fail" ? 500 : status);
+    if (mode == "cut") {
+        connection->send(bytes.substr(0, bytes.size() - RecordLength));
+        connection->close();
+    } else {
+        connection->send(bytes + (mode == "extra" ? bytes : ""));
+    }
+}
+
+std::string Server::answerBytes(const std::string &requestId, int status)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.add("X-Request-Id", requestId);
+    response.headers.add("X-Server-Stamp",
+                         m_id + "." + requestId + "." + std::to_string(++m_answers));
+    response.body = serverRecords(m_service, requestId, m_options.hasRecordsById);
+    std::string bytes;
+    appendResponse(bytes, response, false);
+    return bytes;
+}
+
+} // namespace mangoshift
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,173 @@
+// Plays randomized faults on the real programs, as separate processes on one machine, and holds
+// what callers and servers saw against what must always hold.
+//
+//     soak [--seed N | --seeds FROM-TO | --regressions FILE] [--shape small|rozova|sundarban]
+//          [--seconds S] [--calm] [--safety-only] [--keep FOLDER]
+//
+// A run's faults follow from its seed. The exit status is 0 where nothing was broken, 1 where
+// something was, 3 where a stand-in failed. Logs and records of a broken run stay in FOLDER, or in
+// a temporary folder that is named. `MANGOSHIFT_BIN_DIR` names the folder of the programs.
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <getopt.h>
+
+#include "soak/run.h"
+
+namespace {
+
+using namespace mangoshift::soak;
+
+constexpr int FirstNetwork = 120;
+
+struct Arguments
+{
+    RunOptions run;
+    std::vector<std::uint64_t> seeds{1};
+    std::string keep;
+};
+
+std::vector<std::uint64_t> seedsOf(const std::string &range)
+{
+    const std::size_t dash = range.find('-');
+    const std::uint64_t from = std::stoull(range);
+    const std::uint64_t to = dash == std::string::npos ? from : std::stoull(range.substr(dash + 1));
+    std::vector<std::uint64_t> seeds;
+    for (std::uint64_t seed = from; seed <= to; ++seed)
+        seeds.push_back(seed);
+    return seeds;
+}
+
+/// Reads the first word of each line; what follows says why the seed once failed.
+std::vector<std::uint64_t> seedsIn(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw std::runtime_error(path + ": cannot be read");
+    std::vector<std::uint64_t> seeds;
+    for (std::string line; std::getline(file, line);)
+        if (!line.empty() && line.front() != '#')
+            seeds.push_back(std::stoull(line));
+    return seeds;
+}
+
+Arguments parseArguments(int argc, char **argv)
+{
+    static const option known[] = {{"seed", required_argument, nullptr, 's'},
+                                   {"seeds", required_argument, nullptr, 's'},
+                                   {"regressions", required_argument, nullptr, 'r'},
+                                   {"shape", required_argument, nullptr, 'p'},
+                                   {"seconds", required_argument, nullptr, 't'},
+                                   {"calm", no_argument, nullptr, 'c'},
+                                   {"safety-only", no_argument, nullptr, 'o'},
+                                   {"keep", required_argument, nullptr, 'k'},
+                                   {nullptr, 0, nullptr, 0}};
+    Arguments arguments;
+    arguments.run.shape = shapeOf("small");
+    const char *offset = std::getenv("MANGOSHIFT_NET_OFFSET");
+    arguments.run.network = FirstNetwork + (offset == nullptr ? 0 : std::atoi(offset));
+    for (int c = 0; (c = getopt_long(argc, argv, "", known, nullptr)) != -1;) {
+        const std::string value = optarg == nullptr ? "" : optarg;
+        switch (c) {
+        case 's':
+            arguments.seeds = seedsOf(value);
+            break;
+        case 'r':
+            arguments.seeds = seedsIn(value);
+            break;
+        case 'p':
+            arguments.run.shape = shapeOf(value);
+            break;
+        case 't':
+            arguments.run.faultTime = std::chrono::seconds(std::stoi(value));
+            break;
+        case 'c':
+            arguments.run.isCalm = true;
+            break;
+        case 'o':
+            arguments.run.strictness = Strictness::Safety;
+            break;
+        case 'k':
+            arguments.keep = value;
+            break;
+        default:
+            throw std::runtime_error("an option is not known");
+        }
+    }
+    return arguments;
+}
+
+std::string makeFolder(const Arguments &arguments, std::uint64_t seed)
+{
+    if (!arguments.keep.empty()) {
+        const std::string folder = arguments.keep + "/seed-" + std::to_string(seed);
+        std::filesystem::remove_all(folder);
+        std::filesystem::create_directories(folder);
+        return folder;
+    }
+    std::string pattern = std::filesystem::temp_directory_path() / "mangoshift-soak-XXXXXX";
+    if (mkdtemp(pattern.data()) == nullptr)
+        throw std::runtime_error("no temporary folder can be made");
+    return pattern;
+}
+
+constexpr int Broken = 1;
+constexpr int NotPlayed = 3;
+
+void print(std::uint64_t seed, const RunResult &result)
+{
+    std::printf("seed %llu: %zu faults, %zu requests, %zu served (%zu in part), %zu refused, "
+                "%zu failed, %.1f s of processor, %zu MB at most, %zu promises broken\n",
+                static_cast<unsigned long long>(seed), result.faults.size(), result.requests,
+                result.served, result.partial, result.refused, result.failed, result.vmCpuSeconds,
+                result.vmPeakKb / 1024, result.violations.size());
+    for (const Violation &violation : result.violations)
+        std::printf("  broken: %s: %s\n", violation.promise.c_str(), violation.detail.c_str());
+    std::fflush(stdout);
+}
+
+/// Returns the exit status that the seed asks for.
+int playSeed(const Arguments &arguments, std::uint64_t seed)
+{
+    RunOptions options = arguments.run;
+    options.seed = seed;
+    options.folder = makeFolder(arguments, seed);
+    RunResult result;
+    try {
+        result = runSoak(options);
+    } catch (const std::exception &error) {
+        std::printf("seed %llu: not played: %s; logs in %s\n",
+                    static_cast<unsigned long long>(seed), error.what(), options.folder.c_str());
+        return NotPlayed;
+    }
+    print(seed, result);
+    if (!result.violations.empty())
+        std::printf("  logs in %s\n", options.folder.c_str());
+    else if (arguments.keep.empty())
+        std::filesystem::remove_all(options.folder);
+    return result.violations.empty() ? 0 : Broken;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        const Arguments arguments = parseArguments(argc, argv);
+        int status = 0;
+        for (const std::uint64_t seed : arguments.seeds)
+            status = std::max(status, playSeed(arguments, seed));
+        return status;
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "soak: %s\n", error.what());
+        return NotPlayed;
+    }
+}
--- /dev/null
+++ b/test/soak/shape.cpp
@@ -0,0 +1,77 @@
+#include "soak/shape.h"
+
+#include <stdexcept>
+
+namespace mangoshift::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The sizes, loads and times of the users' deployments today.
+Shape rozova()
+{
+    Shape shape;
+    shape.name = "rozova";
+    shape.vms = 7;
+    shape.shards = 20;
+    shape.otherShards = 30;
+    shape.pooledServers = 5;
+    shape.shardServers = {milliseconds(20), 2, 26, milliseconds(200)};
+    shape.pooled = {milliseconds(160), 3, 100, milliseconds(0)};
+    shape.leastCoverage = 0.89;
+    shape.allRate = 59.5;
+    shape.movingRate = 19.8;
+    shape.ordersRate = 19.8;
+    shape.allTimeout = milliseconds(2500);
+    shape.pooledTimeout = milliseconds(10000);
+    return shape;
+}
+
+Shape sundarban()
+{
+    Shape shape = rozova();
+    shape.name = "sundarban";
+    shape.vms = 6;
+    shape.shardServers.connections = 25;
+    shape.pooled.connections = 38;
+    shape.records = 50;
+    shape.allTimeout = milliseconds(1500);
+    shape.pooledTimeout = milliseconds(6000);
+    return shape;
+}
+
+} // namespace
+
+Shape shapeOf(const std::string &name)
+{
+    if (name == "rozova")
+        return rozova();
+    if (name == "sundarban")
+        return sundarban();
+    if (name != "small")
+        throw std::invalid_argument("no shape is called '" + name + "'");
+    Shape shape;
+    shape.name = "small";
+    return shape;
+}
+
+std::vector<std::string> shardNames(const Shape &shape, bool isCutAnew)
+{
+    std::vector<std::string> names;
+    const int count = isCutAnew ? shape.otherShards : shape.shards;
+    names.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        std::string name(1, isCutAnew ? 'b' : 'a');
+        names.push_back(name.append(std::to_string(i)));
+    }
+    return names;
+}
+
+std::string movingService(std::size_t version)
+{
+    std::string name(1, 'm');
+    return name.append(std::to_string(version % MovingServices));
+}
+
+} // namespace mangoshift::soak
