Leave the balancer while cut off from other domains, and say why nothing is sent again

A VM now counts as cut off when the targets that answer it do not suffice for any fan-out and VMs of other domains, pinged every 200 ms meanwhile, do not answer for 0.7 s. It is then not ready, and refuses fan-outs that cannot reach their least coverage at once, as not run, with a time to come back.

Found by the soak's logs: a copy denied for want of budget was asked for three times over, and the answer said 'overloaded'. It now ends its part at once with the reason budget_spent. New lines tell when a target fails and answers again and when a budget is spent and back, and sends are counted by cause.

--- a/include/mangoshift/membership.h
+++ b/include/mangoshift/membership.h
@@ -135,6 +135,9 @@
     /// Sends a heartbeat out of turn to `vm`, where it is named, and to some others, so that they
     /// hear of another configuration soon.
     MembershipActions announce(const VmId &vm);
+    /// Sends a heartbeat out of turn to some VMs of other failure domains, so that it shows soon
+    /// whether they can be reached; also to ones that count as dead.
+    MembershipActions pingOtherDomains();
     /// Says to others that this VM can be a home from now on; does nothing where it could before.
     MembershipActions startServing();
     /// Says to others that this VM leaves.
--- a/include/mangoshift/requestmachine.h
+++ b/include/mangoshift/requestmachine.h
@@ -65,8 +65,11 @@
     RequestActions start(Clock::time_point now);
     /// Takes in that a part is answered.
     RequestActions onAnswered(std::size_t part, Clock::time_point now);
-    /// Takes in that one copy of a part has failed, or that it could not be sent at all.
+    /// Takes in that one copy of a part has failed.
     RequestActions onFailed(std::size_t part, const Verdict &verdict, Clock::time_point now);
+    /// Takes in that a copy that was no hedge could not be sent at all: asking again at once would
+    /// end alike, so the part has failed unless another copy of it is in flight.
+    RequestActions onUnsent(std::size_t part, const Verdict &verdict, Clock::time_point now);
     /// Takes in that a hedge was not sent, for want of a target or of budget.
     void onHedgeDropped(std::size_t part);
     /// To be called at `nextEvent`.
@@ -92,6 +95,9 @@
     };
 
     SendPart send(std::size_t part, SendCause cause, Clock::time_point now);
+    /// Returns whether a failure is left to deal with: the part is pending, with no copy in flight.
+    bool noteFailure(const Part &part, const Verdict &verdict);
+    void fail(Part &part, RequestActions &actions, Clock::time_point now);
     bool mayRetry(const Part &part, const Verdict &verdict) const;
     void finishIfDecided(RequestActions &actions, Clock::time_point now);
     GiveFailure failure(Reason reason) const;
--- a/include/mangoshift/routing.h
+++ b/include/mangoshift/routing.h
@@ -34,6 +34,9 @@
     std::size_t records = 0;
     /// The least share of the shards, 0 to 1, that a successful answer covers.
     double leastCoverage = 1.0;
+
+    /// Returns how many shards a successful answer covers at least, one or more.
+    std::size_t leastShards() const;
 };
 
 using Destination = std::variant<ForwardTo, FanOutTo>;
--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -39,6 +39,10 @@
 
     /// Returns true while the target should get work only where there is no other.
     bool isAvoided(Clock::time_point now) const { return now < m_avoidUntil; }
+    /// Returns true from a lost or overdue answer on until the next answer.
+    bool isSilent() const { return m_strikes > 0; }
+    /// Returns true where several requests on end got no answer: one alone may be a pause.
+    bool isFailing() const;
     /// Returns the expected cost of one more request; lower is better.
     double cost(Clock::time_point now) const;
     std::uint32_t inFlight() const { return m_inFlight; }
--- a/include/mangoshift/verdict.h
+++ b/include/mangoshift/verdict.h
@@ -28,6 +28,7 @@
     UnknownTicket, ///< The ticket was not issued here, has expired, or its issuer is gone.
     NotReady, ///< The VM has no configuration yet.
     Cancelled, ///< The asker no longer needs the answer.
+    BudgetSpent, ///< The budget for extra requests to the service has no room for a further one.
 };
 
 /// The outcome of a request as far as its execution is concerned.
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -23,14 +23,19 @@
                                                           {"target_listed", "target"},
                                                           {"target_draining", "target"},
                                                           {"target_delisted", "target"},
-                                                          {"target_misdirected", "target"}};
+                                                          {"target_misdirected", "target"},
+                                                          {"target_failing", "target"},
+                                                          {"target_answers", "target"},
+                                                          {"retry_budget_spent", "budget"},
+                                                          {"retry_budget_back", "budget"}};
 
 const std::map<std::string, std::string> ReasonTexts{
     {"ok", "all that was asked for came in time"},
     {"deadline_exceeded", "its time was over before enough answers had come"},
     {"lost", "a connection to a target ended, or could not be made, before an answer"},
     {"refused", "the targets said that they had no room"},
-    {"overloaded", "no target had room, or the budget for a further send was spent"},
+    {"overloaded", "no target had room"},
+    {"budget_spent", "what was sent before had failed, and the budget for sending again was spent"},
     {"draining", "the VM was leaving"},
     {"no_replica", "no target of the service was known, or each known one had been tried"},
     {"bad_reply", "a target answered with something that is no valid answer"},
@@ -104,6 +109,9 @@
     if (decision.what == "queue_too_long")
         return start
             + "refused at once: the queues for its parts are too long for it to be in time";
+    if (decision.what == "out_of_reach")
+        return start
+            + "refused at once: this VM is cut off from the other domains and from too many targets";
     if (decision.what == "no_budget")
         return start + "not sent again to " + decision.service + ": the retry budget is spent";
     return start + decision.what + " " + decision.service + " " + decision.why;
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -56,6 +56,8 @@
                        .Name("mangoshift_entry_request_duration_seconds")
                        .Help("Time from receipt to answer")
                        .Register(*m_registry))
+    , entrySends(counters(*m_registry, "mangoshift_entry_sends_total",
+                          "Requests given to targets, and extra ones denied"))
     , storeReads(counters(*m_registry, "mangoshift_store_reads_total", "Reads of the store"))
     , peerReads(counters(*m_registry, "mangoshift_peer_reads_total",
                          "Questions to other VMs for the state of the store"))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -57,6 +57,9 @@
     prometheus::Family<prometheus::Counter> &entryRequests;
     /// From receipt to answer at an entry VM, by `route`, in seconds.
     prometheus::Family<prometheus::Histogram> &entrySeconds;
+    /// Requests that an entry VM gave to targets, by `cause` (`first`, `hedge`, `retry`), and extra
+    /// ones that it did not send for want of budget, as `denied`.
+    prometheus::Family<prometheus::Counter> &entrySends;
     /// Reads of the store, by `outcome` (`ok`, `refused`, `failed`, `history_gone`).
     prometheus::Family<prometheus::Counter> &storeReads;
     /// Questions to other VMs for the state of the store, by `outcome` (`ok`, `failed`).
--- a/src/core/membership_gossip.cpp
+++ b/src/core/membership_gossip.cpp
@@ -15,6 +15,8 @@
 /// What a record takes beside its texts, in bytes.
 constexpr std::size_t RecordOverheadBytes = 56;
 constexpr std::chrono::seconds MinPullInterval{1};
+/// VMs of other domains that are pinged at once; several, as some may be down.
+constexpr std::size_t OtherDomainPings = 3;
 
 std::size_t sizeOf(const MemberRecord &record)
 {
@@ -120,6 +122,26 @@
     return std::chrono::duration_cast<Clock::duration>(m_options.suspicion * factor);
 }
 
+MembershipActions Membership::pingOtherDomains()
+{
+    std::vector<const MemberRecord *> others;
+    for (const auto &[vm, entry] : m_entries)
+        if (entry.record.member.failureDomain != m_self.member.failureDomain
+            && entry.record.state != MemberState::Leaving)
+            others.push_back(&entry.record);
+    std::shuffle(others.begin(), others.end(), m_random);
+    std::stable_partition(others.begin(), others.end(), [](const MemberRecord *record) {
+        return record->state != MemberState::Dead;
+    });
+    others.resize(std::min(others.size(), OtherDomainPings));
+    for (const MemberRecord *record : others) {
+        HeartbeatMessage message;
+        message.sequence = ++m_lastSequence;
+        send(record->member.peerAddress, record->member.vm, std::move(message));
+    }
+    return take();
+}
+
 Clock::duration Membership::pullInterval() const
 {
     std::size_t bytes = sizeOf(m_self);
--- a/src/core/requestmachine.cpp
+++ b/src/core/requestmachine.cpp
@@ -68,22 +68,43 @@
         --state.attempts;
         ++state.refusals;
     }
-    if (m_isFinished)
+    if (!noteFailure(state, verdict))
         return actions;
+    if (verdict.reason != Reason::NoReplica && mayRetry(state, verdict))
+        actions.emplace_back(send(part, SendCause::Retry, now));
+    else
+        fail(state, actions, now);
+    return actions;
+}
+
+RequestActions RequestMachine::onUnsent(std::size_t part, const Verdict &verdict,
+                                        Clock::time_point now)
+{
+    RequestActions actions;
+    Part &state = m_parts[part];
+    --state.inFlight;
+    --state.attempts;
+    if (noteFailure(state, verdict))
+        fail(state, actions, now);
+    return actions;
+}
+
+bool RequestMachine::noteFailure(const Part &part, const Verdict &verdict)
+{
+    if (m_isFinished)
+        return false;
     m_execution = std::max(m_execution, verdict.execution);
     // That no further target is left explains less than why the earlier ones failed.
     if (verdict.reason != Reason::NoReplica || m_lastFailure.reason == Reason::Ok)
         m_lastFailure = verdict;
-    if (state.state != PartState::Pending || state.inFlight > 0)
-        return actions;
-    if (verdict.reason != Reason::NoReplica && mayRetry(state, verdict)) {
-        actions.emplace_back(send(part, SendCause::Retry, now));
-        return actions;
-    }
-    state.state = PartState::Failed;
+    return part.state == PartState::Pending && part.inFlight == 0;
+}
+
+void RequestMachine::fail(Part &part, RequestActions &actions, Clock::time_point now)
+{
+    part.state = PartState::Failed;
     ++m_failed;
     finishIfDecided(actions, now);
-    return actions;
 }
 
 void RequestMachine::onHedgeDropped(std::size_t part)
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <utility>
 
 namespace mangoshift {
 
 namespace {
 
+/// Keeps a share such as 0.9 of 20 from being rounded up to 19.
+constexpr double ShareTolerance = 1e-9;
+
 std::string normalizedHost(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
@@ -18,6 +22,12 @@
 
 } // namespace
 
+std::size_t FanOutTo::leastShards() const
+{
+    const double least = leastCoverage * static_cast<double>(shards.size());
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(least - ShareTolerance)));
+}
+
 RoutingTable::RoutingTable(RoutingDocument document)
     : m_document(std::move(document))
 {
--- a/src/core/targetload.cpp
+++ b/src/core/targetload.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds LongestAvoidance{1600};
 /// How long a target that has refused a request is avoided: about one request's work.
 constexpr std::chrono::milliseconds RefusalAvoidance{20};
+/// A target that has let so many requests on end go without an answer is told of in the log.
+constexpr std::uint32_t FailingStrikes = 2;
 constexpr double WarmupCost = 1.6;
 /// Answers within this many times the usual latency show that the target has room for more; ones
 /// beyond the second multiple, that it has not.
@@ -73,6 +75,11 @@
         std::max(m_avoidUntil, now + std::min<Clock::duration>(doubled, LongestAvoidance));
 }
 
+bool TargetLoad::isFailing() const
+{
+    return m_strikes >= FailingStrikes;
+}
+
 double TargetLoad::cost(Clock::time_point now) const
 {
     return (m_inFlight + 1.0) * m_slowness * (now < m_warmUntil ? WarmupCost : 1.0);
--- a/src/duties/memberexchange.h
+++ b/src/duties/memberexchange.h
@@ -43,6 +43,8 @@
     void onList(const std::vector<Member> &listed, Clock::time_point askedAt);
     void onPaused();
     void leave();
+    /// Pings some VMs of other failure domains at once.
+    void pingOtherDomains() { perform(m_membership.pingOtherDomains()); }
     /// Says that this VM has a configuration in force.
     void startServing();
     /// Tells some VMs at once that this VM holds another version; see `AnnounceConfig`.
--- a/src/duties/messages.h
+++ b/src/duties/messages.h
@@ -166,6 +166,11 @@
 {
 };
 
+/// Asks for VMs of other failure domains to be pinged at once.
+struct PingOtherDomains
+{
+};
+
 using QueryMessage =
     std::variant<CallerQuery, PeerReplies, PeerLost, DocumentChanged, MembersChanged, StateRequest>;
 using HomeMessage = std::variant<HomeBatch, HomeCancel, LinkLost, DocumentChanged, MembersChanged,
@@ -174,6 +179,6 @@
 using ControlMessage = std::variant<ControlFrame, PlatformDocument, PlatformList, HomesPaused,
                                     StartLeaving, StateRequest>;
 using RegistryMessage = std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, BudgetQuestion,
-                                     SeedsChanged, StartLeaving>;
+                                     SeedsChanged, PingOtherDomains, StartLeaving>;
 
 } // namespace mangoshift
--- a/src/duties/ticketwire.cpp
+++ b/src/duties/ticketwire.cpp
@@ -14,7 +14,7 @@
 Verdict verdictFrom(std::uint8_t execution, std::uint8_t reason, std::uint32_t retryAfterMs)
 {
     if (execution > static_cast<std::uint8_t>(Execution::Ran)
-        || reason > static_cast<std::uint8_t>(Reason::Cancelled))
+        || reason > static_cast<std::uint8_t>(Reason::BudgetSpent))
         return {Execution::MayHaveRun, Reason::BadReply};
     return {static_cast<Execution>(execution), static_cast<Reason>(reason),
             std::chrono::milliseconds(retryAfterMs)};
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
-                     RetryBudgets::AskPool askPool)
+                     const EntrySinks &sinks)
     : m_settings(settings)
     , m_adapter(adapter)
     , m_duty("entry", RingCapacity)
@@ -34,9 +34,9 @@
               metrics,
               TargetDirectory(m_duty.io(), adapter.headers.target, settings.assumedVms),
               {},
-              RetryBudgets(m_duty.io(), settings.retryBudget, settings.assumedVms,
-                           std::move(askPool)),
+              RetryBudgets(m_duty.io(), settings.retryBudget, settings.assumedVms, sinks.askPool),
               settings.replyMargin}
+    , m_pingOtherDomains(sinks.pingOtherDomains)
     , m_filters(adapter.headers)
     , m_callers(m_duty.io(), settings.maxCallerConnections, callerEvents())
     , m_balancer(m_duty.io(), MaxBalancerConnections, readyEvents())
@@ -95,6 +95,11 @@
     post(std::move(grants));
 }
 
+void EntryDuty::onOtherDomainHeard()
+{
+    post(OtherDomainHeard{});
+}
+
 void EntryDuty::setTerms(EntryTerms terms)
 {
     post(terms);
@@ -133,6 +138,10 @@
                               m_state.replyMargin = terms.replyMargin;
                               m_state.budgets.setTerms(terms.retryBudget);
                           },
+                          [this](OtherDomainHeard &) {
+                              m_state.reach.onHeard(Clock::now());
+                              updateReady();
+                          },
                           [this](Leave &leave) {
                               m_isLeaving = true;
                               m_leavingSince = Clock::now();
@@ -146,12 +155,37 @@
 
 void EntryDuty::updateReady()
 {
-    const bool isReady = m_routing && m_hasListed && !m_isLeaving;
+    const bool isCutOff = m_state.reach.isCutOff();
+    const bool isReady = m_routing && m_hasListed && !m_isLeaving && !isCutOff;
     if (m_isReady.exchange(isReady) != isReady)
         logEvent(LogLevel::Info, isReady ? "vm_ready" : "vm_not_ready",
                  {{"config_version", std::to_string(m_routing ? m_routing->version() : 0)},
                   {"targets", std::to_string(m_state.directory.targets())},
-                  {"leaving", m_isLeaving ? "true" : "false"}});
+                  {"leaving", m_isLeaving ? "true" : "false"},
+                  {"cut_off", isCutOff ? "true" : "false"}});
+}
+
+bool EntryDuty::hasReach() const
+{
+    bool hasFanOut = false;
+    for (const Route &route : m_routing->document().routes) {
+        const auto *fanOut = std::get_if<FanOutTo>(&route.destination);
+        if (fanOut == nullptr)
+            continue;
+        hasFanOut = true;
+        if (m_state.directory.servicesInReach(fanOut->shards) >= fanOut->leastShards())
+            return true;
+    }
+    return !hasFanOut;
+}
+
+void EntryDuty::updateReach(Clock::time_point now)
+{
+    if (!m_routing)
+        return;
+    if (m_state.reach.onReach(hasReach(), now))
+        m_pingOtherDomains();
+    updateReady();
 }
 
 CallerEvents EntryDuty::callerEvents()
@@ -251,6 +285,7 @@
     m_balancer.sweep(now);
     m_state.directory.sweep(now);
     m_state.budgets.sweep(now);
+    updateReach(now);
     if (m_isLeaving)
         sweepLeaving(now);
 }
@@ -275,6 +310,7 @@
     nlohmann::json state;
     state["ready"] = m_isReady.load();
     state["leaving"] = m_isLeaving;
+    state["cut_off"] = m_state.reach.isCutOff();
     state["config_version"] = m_routing ? m_routing->version() : 0;
     state["caller_connections"] = m_callers.connections();
     state["requests_under_way"] = m_exchanges.size();
@@ -294,6 +330,7 @@
             {"service", handle->info.service},     {"in_flight", handle->load.inFlight()},
             {"limit", handle->load.limit()},       {"misdirected", handle->isMisdirected},
             {"slowness", handle->load.slowness()}, {"avoided", handle->load.isAvoided(now)},
+            {"failing", handle->load.isFailing()},
             {"draining", handle->info.isDraining}};
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {{"samples", route.partLatencies.samples()},
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -21,6 +22,16 @@
 
 namespace mangoshift {
 
+/// What the entry duty asks of others; called on its thread.
+struct EntrySinks
+{
+    /// Asks the pool for extra requests; its answer comes through `EntryDuty::onBudgetGrants`.
+    RetryBudgets::AskPool askPool;
+    /// Asks for a sign of life from VMs of other failure domains, which comes through
+    /// `EntryDuty::onOtherDomainHeard`.
+    std::function<void()> pingOtherDomains;
+};
+
 /// The duty that takes callers' requests and sends them to targets.
 ///
 /// Callers, targets and the balancer's question for readiness are served on one event loop, as a
@@ -28,9 +39,8 @@
 class EntryDuty
 {
 public:
-    /// `askPool` is called on this duty's thread; its answer comes through `onBudgetGrants`.
     EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
-              RetryBudgets::AskPool askPool);
+              const EntrySinks &sinks);
     ~EntryDuty();
     EntryDuty(const EntryDuty &) = delete;
     EntryDuty &operator=(const EntryDuty &) = delete;
@@ -48,6 +58,8 @@
     /// Takes in how many VMs there are at most; see `EntryState::growFleet`.
     void setFleetSize(std::size_t vms);
     void onBudgetGrants(BudgetGrants grants);
+    /// A VM of another failure domain was heard.
+    void onOtherDomainHeard();
     /// Takes over settings that can change in a running process.
     void setTerms(EntryTerms terms);
     /// Reports not ready from now on, answers what comes, and ends connections until `deadline`.
@@ -73,12 +85,15 @@
     {
         std::size_t vms;
     };
+    struct OtherDomainHeard
+    {
+    };
     struct Leave
     {
         Clock::time_point deadline;
     };
     using Message = std::variant<RoutingChanged, TargetsChanged, Listed, FleetSize, BudgetGrants,
-                                 EntryTerms, Leave, StateRequest>;
+                                 EntryTerms, OtherDomainHeard, Leave, StateRequest>;
 
     void post(Message message);
     void handle(Message &message);
@@ -89,6 +104,9 @@
     void reject(const IncomingRequest &request, const Rejection &rejection);
     void onFinished(const std::shared_ptr<RequestExchange> &exchange);
     void updateReady();
+    void updateReach(Clock::time_point now);
+    /// Returns whether the targets that answer suffice for some fan-out, if there is any.
+    bool hasReach() const;
     void armSweep();
     void sweep();
     void sweepLeaving(Clock::time_point now);
@@ -98,6 +116,7 @@
     const WireAdapter &m_adapter;
     Duty<Message> m_duty;
     EntryState m_state;
+    std::function<void()> m_pingOtherDomains;
     RequestFilterChain m_filters;
     /// Outlives the connections, which report here when they are closed.
     std::unordered_map<CallerConnectionPtr, std::shared_ptr<RequestExchange>> m_exchanges;
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -32,11 +32,14 @@
     , m_adapter(std::move(adapter))
     , m_self(memberFrom(m_settings))
 {
-    m_entry = std::make_unique<EntryDuty>(
-        m_settings, m_adapter, m_metrics, [this](BudgetQuestion question) {
-            if (!m_registry->tryPost(std::move(question)))
-                logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
-        });
+    const auto askRegistry = [this](RegistryMessage message) {
+        if (!m_registry->tryPost(std::move(message)))
+            logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
+    };
+    m_entry = std::make_unique<EntryDuty>(m_settings, m_adapter, m_metrics,
+                                          EntrySinks{askRegistry, [askRegistry] {
+                                                         askRegistry(PingOtherDomains{});
+                                                     }});
     m_registry =
         std::make_unique<RegistryDuty>(m_settings, m_self, m_adapter, registrySinks(), m_metrics);
     if (m_settings.peerAddress)
@@ -68,6 +71,7 @@
     };
     sinks.onFleetSize = [this](std::size_t vms) { m_entry->setFleetSize(vms); };
     sinks.onGrants = [this](BudgetGrants grants) { m_entry->onBudgetGrants(std::move(grants)); };
+    sinks.onOtherDomainHeard = [this] { m_entry->onOtherDomainHeard(); };
     sinks.onMembers = [this](MemberViewPtr members) {
         m_peers->tryPost(MembersChanged{std::move(members)});
     };
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -12,6 +12,7 @@
 #include "entry/targetdirectory.h"
 #include "entry/wireadapter.h"
 #include "mangoshift/latencydigest.h"
+#include "mangoshift/reachmonitor.h"
 #include "mangoshift/routing.h"
 
 namespace mangoshift {
@@ -42,6 +43,7 @@
     RetryBudgets budgets;
     /// How long before the latency target an answer leaves.
     std::chrono::milliseconds replyMargin;
+    ReachMonitor reach = {};
 
     /// Takes in how many VMs there may be, if that is more than was known.
     void growFleet(std::size_t vms)
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -81,7 +81,11 @@
     m_members = std::make_unique<MemberExchange>(
         m_duty.io(), *settings.peerAddress, m_self, membershipOptions(),
         MemberSinks{[this](MemberViewPtr view) { onView(std::move(view)); }, m_sinks.sendToVm,
-                    m_sinks.sendOnLink, [](const HeartbeatMessage &) {}},
+                    m_sinks.sendOnLink,
+                    [this](const HeartbeatMessage &message) {
+                        if (message.sender.member.failureDomain != m_self.failureDomain)
+                            m_sinks.onOtherDomainHeard();
+                    }},
         metrics);
 }
 
@@ -116,6 +120,10 @@
                               if (m_members)
                                   m_members->onList(membersOf(seeds.addresses), Clock::now());
                           },
+                          [this](PingOtherDomains &) {
+                              if (m_members)
+                                  m_members->pingOtherDomains();
+                          },
                           [this](LinkLost &lost) { m_questions.onLinkLost(lost.link); },
                           [this](StartLeaving &) {
                               if (m_members)
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -38,6 +38,8 @@
     /// How many VMs there are, at most: the dead are counted until they are forgotten.
     std::function<void(std::size_t)> onFleetSize;
     std::function<void(MemberViewPtr)> onMembers;
+    /// A VM of another failure domain was heard.
+    std::function<void()> onOtherDomainHeard;
     std::function<void(BudgetGrants)> onGrants;
     std::function<void(const VmId &, FramePtr)> sendToVm;
     std::function<void(LinkId, FramePtr)> sendOnLink;
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -1,7 +1,7 @@
 #include "entry/requestexchange.h"
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 #include <deque>
 #include <utility>
 
@@ -31,6 +31,9 @@
 /// When to come back where queues are too long: twice a latency target of the users' slower
 /// queries, in which a queue that made one late has been worked off.
 constexpr milliseconds CrestRetryAfter{300};
+/// When to come back to a VM that is cut off from most targets: by then the balancer, which asks once
+/// a second and takes a VM out after two misses, may send callers elsewhere.
+constexpr milliseconds CutOffRetryAfter{1000};
 
 /// These statuses promise a caller that its request has not run.
 bool promisesNotRun(int status)
@@ -89,10 +92,7 @@
     if (const FanOutTo *fanOut = this->fanOut()) {
         for (const std::string &shard : fanOut->shards)
             m_parts.emplace_back().service = shard;
-        const double least = fanOut->leastCoverage * static_cast<double>(m_parts.size());
-        // The tolerance keeps a share such as 0.9 of 20 from being rounded up to 19.
-        terms.leastParts =
-            std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(least - 1e-9)));
+        terms.leastParts = fanOut->leastShards();
     } else {
         const auto &services = std::get<ForwardTo>(route.destination).services;
         m_parts.emplace_back().service = services[m_route.turns.next(services)].service;
@@ -115,6 +115,12 @@
     m_machine.emplace(terms);
 }
 
+bool RequestExchange::isOutOfReach() const
+{
+    return m_state.reach.isCutOff() && fanOut() != nullptr
+        && m_state.directory.servicesInReach(fanOut()->shards) < m_leastParts;
+}
+
 bool RequestExchange::isHopeless(Clock::time_point now) const
 {
     if (fanOut() == nullptr)
@@ -128,6 +134,11 @@
 
 void RequestExchange::start()
 {
+    if (isOutOfReach()) {
+        note("out_of_reach", m_request.route->name, {}, "");
+        giveFailure({Execution::NotRun, Reason::NoReplica, CutOffRetryAfter});
+        return;
+    }
     if (isHopeless(Clock::now())) {
         note("queue_too_long", m_request.route->name, {}, "");
         giveFailure({Execution::NotRun, Reason::Overloaded, CrestRetryAfter});
@@ -167,7 +178,7 @@
     }
     if (!part.mayHaveArrived)
         return callTarget(action, Payment::None, now);
-    if (m_state.budgets.share(part.service).left(now) >= 1.0)
+    if (m_state.budgets.hasRoom(part.service, now))
         return callTarget(action, Payment::Share, now);
     const bool isAsked = m_state.budgets.ask(
         part.service,
@@ -182,8 +193,9 @@
 RequestActions RequestExchange::onDenied(const SendPart &action, Clock::time_point now)
 {
     ++m_denied;
+    m_state.metrics.entrySends.Add({{"cause", "denied"}}).Increment();
     note("no_budget", m_parts[action.part].service, {}, "");
-    return onNotSent(action, CallState::NoRoom, now);
+    return onUnsent(action, {Execution::NotRun, Reason::BudgetSpent, RefusedRetryAfter}, now);
 }
 
 void RequestExchange::onPoolAnswer(const SendPart &action, bool isGranted)
@@ -224,8 +236,12 @@
     };
     const CallState state = m_state.directory.call(std::move(call), now);
     if (state == CallState::NoTarget || state == CallState::NoRoom) {
-        note("not_sent", part.service, {}, state == CallState::NoTarget ? "no_target" : "no_room");
-        return onNotSent(action, state, now);
+        const bool isUnknown = state == CallState::NoTarget;
+        note("not_sent", part.service, {}, isUnknown ? "no_target" : "no_room");
+        return onUnsent(action,
+                        {Execution::NotRun, isUnknown ? Reason::NoReplica : Reason::Overloaded,
+                         isUnknown ? NoReplicaRetryAfter : RefusedRetryAfter},
+                        now);
     }
     if (state == CallState::Waiting)
         note("waits", part.service, {}, "");
@@ -233,24 +249,29 @@
     if (payment == Payment::Share)
         m_state.budgets.share(part.service).trySpend(now);
     part.isWaiting = state == CallState::Waiting;
-    if (action.cause == SendCause::Hedge)
+    countSend(action.cause);
+    return {};
+}
+
+void RequestExchange::countSend(SendCause cause)
+{
+    static constexpr std::array names{"first", "hedge", "retry"};
+    m_state.metrics.entrySends.Add({{"cause", names.at(static_cast<std::size_t>(cause))}})
+        .Increment();
+    if (cause == SendCause::Hedge)
         ++m_hedges;
-    else if (action.cause == SendCause::Retry)
+    else if (cause == SendCause::Retry)
         ++m_retries;
-    return {};
 }
 
-RequestActions RequestExchange::onNotSent(const SendPart &action, CallState state,
-                                          Clock::time_point now)
+RequestActions RequestExchange::onUnsent(const SendPart &action, const Verdict &verdict,
+                                         Clock::time_point now)
 {
     if (action.cause == SendCause::Hedge) {
         m_machine->onHedgeDropped(action.part);
         return {};
     }
-    const bool isUnknown = state == CallState::NoTarget;
-    const Verdict verdict{Execution::NotRun, isUnknown ? Reason::NoReplica : Reason::Overloaded,
-                          isUnknown ? NoReplicaRetryAfter : RefusedRetryAfter};
-    return m_machine->onFailed(action.part, verdict, now);
+    return m_machine->onUnsent(action.part, verdict, now);
 }
 
 void RequestExchange::onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call)
@@ -335,7 +356,7 @@
 {
     for (const Copy &copy : part.copies)
         if (copy.isOpen)
-            copy.target->load.onOverdue(now);
+            m_state.directory.onOverdue(copy.target, now);
 }
 
 void RequestExchange::onCallerLeft()
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -63,14 +63,17 @@
     /// Whom an extra request is paid from; first ones are free.
     enum class Payment : std::uint8_t { None, Share, Pool };
     RequestActions callTarget(const SendPart &action, Payment payment, Clock::time_point now);
+    void countSend(SendCause cause);
     RequestActions onDenied(const SendPart &action, Clock::time_point now);
     void onPoolAnswer(const SendPart &action, bool isGranted);
-    RequestActions onNotSent(const SendPart &action, CallState state, Clock::time_point now);
+    RequestActions onUnsent(const SendPart &action, const Verdict &verdict, Clock::time_point now);
     void onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call);
     void onReply(std::size_t part, const TargetHandlePtr &target, TargetReply reply);
     /// Returns no value where the reply answers the part.
     std::optional<Verdict> judge(const TargetReply &reply) const;
     void markOverdue(const Part &part, Clock::time_point now);
+    /// Whether this VM is cut off from too many targets for a successful answer.
+    bool isOutOfReach() const;
     /// Whether queues are too long for enough parts to be in time.
     bool isHopeless(Clock::time_point now) const;
     void giveAnswer();
--- a/src/entry/retrybudgets.cpp
+++ b/src/entry/retrybudgets.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/post.hpp>
 
+#include "base/log.h"
 #include "mangoshift/retrypool.h"
 
 namespace mangoshift {
@@ -13,6 +14,8 @@
 
 /// How long the pool's answer is awaited: less than a caller waits for a hedge to pay off.
 constexpr std::chrono::milliseconds AnswerPatience{100};
+/// How long a share counts as spent at least, so that one on the brink does not fill the log.
+constexpr std::chrono::milliseconds SpentAtLeast{1000};
 
 } // namespace
 
@@ -37,7 +40,7 @@
     if (terms == m_terms)
         return;
     m_terms = terms;
-    m_shares.clear();
+    m_accounts.clear();
 }
 
 void RetryBudgets::growFleet(std::size_t vms)
@@ -45,13 +48,29 @@
     if (vms <= m_fleetSize)
         return;
     m_fleetSize = vms;
-    for (auto &[service, share] : m_shares)
-        share.setSlackShare(slackShare());
+    for (auto &[service, account] : m_accounts)
+        account.share.setSlackShare(slackShare());
 }
 
-RetryShare &RetryBudgets::share(const std::string &service)
+RetryBudgets::Account &RetryBudgets::account(const std::string &service)
 {
-    return m_shares.try_emplace(service, m_terms, slackShare()).first->second;
+    return m_accounts.try_emplace(service, Account{RetryShare(m_terms, slackShare())})
+        .first->second;
+}
+
+bool RetryBudgets::hasRoom(const std::string &service, Clock::time_point now)
+{
+    Account &account = this->account(service);
+    const bool hasRoom = account.share.left(now) >= 1.0;
+    if (!hasRoom && !account.spentSince) {
+        account.spentSince = now;
+        logEvent(LogLevel::Info, "retry_budget_spent",
+                 {{"service", service}, {"fleet_size", std::to_string(m_fleetSize)}});
+    } else if (hasRoom && account.spentSince && now - *account.spentSince >= SpentAtLeast) {
+        account.spentSince.reset();
+        logEvent(LogLevel::Info, "retry_budget_back", {{"service", service}});
+    }
+    return hasRoom;
 }
 
 bool RetryBudgets::ask(const std::string &service, Granted granted, Clock::time_point now)
--- a/src/entry/retrybudgets.h
+++ b/src/entry/retrybudgets.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -36,7 +37,9 @@
     std::size_t fleetSize() const { return m_fleetSize; }
 
     /// Returns this VM's own share of a service's budget.
-    RetryShare &share(const std::string &service);
+    RetryShare &share(const std::string &service) { return account(service).share; }
+    /// Returns whether the share has room for an extra request, and logs where that has changed.
+    bool hasRoom(const std::string &service, Clock::time_point now);
     /// Asks the pool for one extra request; `granted` is called later, on this thread. Returns
     /// false where there is no pool.
     bool ask(const std::string &service, Granted granted, Clock::time_point now);
@@ -56,6 +59,14 @@
         Clock::time_point denyAt;
     };
 
+    struct Account
+    {
+        RetryShare share;
+        /// Since when the share has been spent; no value while it is not.
+        std::optional<Clock::time_point> spentSince = std::nullopt;
+    };
+
+    Account &account(const std::string &service);
     bool isPooled() const { return m_fleetSize > m_assumedVms; }
     double slackShare() const;
     void send();
@@ -65,7 +76,7 @@
     std::size_t m_assumedVms;
     std::size_t m_fleetSize;
     AskPool m_askPool;
-    std::unordered_map<std::string, RetryShare> m_shares;
+    std::unordered_map<std::string, Account> m_accounts;
     /// Wishes that go out together at the end of this turn of the event loop.
     std::vector<Wish> m_wishes;
     std::unordered_map<std::uint64_t, Question> m_questions;
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -17,6 +17,14 @@
 /// One connection more than the target has slots, so that one that is stuck takes no slot away.
 constexpr std::size_t SpareConnections = 1;
 
+void logIfChanged(const TargetHandle &target, bool wasFailing)
+{
+    const bool isFailing = target.load.isFailing();
+    if (isFailing != wasFailing)
+        logEvent(LogLevel::Info, isFailing ? "target_failing" : "target_answers",
+                 {{"target", target.info.id}, {"service", target.info.service}});
+}
+
 } // namespace
 
 TargetDirectory::TargetDirectory(asio::io_context &io, const TargetHeaderNames &names,
@@ -208,15 +216,29 @@
 void TargetDirectory::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
                                   const TargetReply &reply)
 {
-    const Clock::time_point now = Clock::now();
-    TargetLoad &load = target->load;
+    const bool wasFailing = target->load.isFailing();
+    noteEnd(*target, expected, reply, Clock::now());
+    logIfChanged(*target, wasFailing);
+}
+
+void TargetDirectory::onOverdue(const TargetHandlePtr &target, Clock::time_point now)
+{
+    const bool wasFailing = target->load.isFailing();
+    target->load.onOverdue(now);
+    logIfChanged(*target, wasFailing);
+}
+
+void TargetDirectory::noteEnd(TargetHandle &target, Clock::duration expected,
+                              const TargetReply &reply, Clock::time_point now)
+{
+    TargetLoad &load = target.load;
     switch (reply.end) {
     case TargetReply::End::Answered:
         if (reply.response.status == httpstatus::ServiceUnavailable
             || reply.response.status == httpstatus::TooManyRequests)
             load.onRefused(now);
         else if (reply.response.status == httpstatus::MisdirectedRequest)
-            onMisdirected(*target, now);
+            onMisdirected(target, now);
         else
             load.onAnswered(now - reply.sentAt, expected, now);
         break;
@@ -295,6 +317,19 @@
                   [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
 }
 
+std::size_t TargetDirectory::servicesInReach(const std::vector<std::string> &services) const
+{
+    const auto isInReach = [](const TargetHandlePtr &handle) {
+        return !handle->isMisdirected && !handle->info.isDraining && !handle->load.isSilent();
+    };
+    return static_cast<std::size_t>(
+        std::count_if(services.begin(), services.end(), [&](const std::string &service) {
+            const auto it = m_byService.find(service);
+            return it != m_byService.end()
+                && std::any_of(it->second.begin(), it->second.end(), isInReach);
+        }));
+}
+
 std::size_t TargetDirectory::openConnections() const
 {
     std::size_t open = 0;
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -82,6 +82,8 @@
     /// for a moment only. `onSent` is called once a target has been picked, and `onEnded` once with
     /// its reply, never from within `call`.
     CallState call(ServiceCall call, Clock::time_point now);
+    /// Takes in that the answer to a call is overdue.
+    void onOverdue(const TargetHandlePtr &target, Clock::time_point now);
     /// Returns how long a further call to a service would wait for room, if each call takes
     /// `callLatency`; zero where none waits. Calls that are late already do not count, as they go
     /// last.
@@ -92,6 +94,8 @@
     /// Closes overdue connections and forgets targets that are gone and have no call any more.
     void sweep(Clock::time_point now);
 
+    /// Returns how many of the services have a target that is not silent.
+    std::size_t servicesInReach(const std::vector<std::string> &services) const;
     std::size_t targets() const { return m_byId.size(); }
     std::size_t openConnections() const;
     const ChannelCounts &counts() const { return m_counts; }
@@ -107,6 +111,9 @@
     bool send(const TargetHandlePtr &target, ServiceCall &call);
     void onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
                      const TargetReply &reply);
+    /// Takes in how a call ended.
+    static void noteEnd(TargetHandle &target, Clock::duration expected, const TargetReply &reply,
+                        Clock::time_point now);
     static void onMisdirected(TargetHandle &target, Clock::time_point now);
     void serveWaiting(const std::string &service, Clock::time_point now);
 
--- a/test/unit/requestmachine_test.cpp
+++ b/test/unit/requestmachine_test.cpp
@@ -238,3 +238,34 @@
         for (const int count : mayHaveRun)
             CHECK(count == 0);
 }
+
+TEST_CASE("A copy that could not be sent at all")
+{
+    RequestMachine machine(termsOf(2, 1, true));
+    REQUIRE(textOf(machine.start(Start)) == "send0 send1 ");
+    const Verdict denied{Execution::NotRun, Reason::BudgetSpent};
+
+    SECTION("ends its part at once, whose other copies have failed")
+    {
+        REQUIRE(textOf(machine.onFailed(0, Lost, Start + 5ms)) == "retry0 ");
+        CHECK(textOf(machine.onUnsent(0, denied, Start + 5ms)).empty());
+        SECTION("so that the answer needs the other part")
+        {
+            CHECK(textOf(machine.onAnswered(1, Start + 9ms)) == "answer ");
+        }
+        SECTION("and the request, once the other part has failed too")
+        {
+            REQUIRE(textOf(machine.onFailed(1, Lost, Start + 6ms)) == "retry1 ");
+            const RequestActions actions = machine.onUnsent(1, denied, Start + 6ms);
+            REQUIRE(textOf(actions) == "fail:may_have_run ");
+            CHECK(std::get<GiveFailure>(actions.front()).verdict.reason == Reason::BudgetSpent);
+        }
+    }
+    SECTION("leaves a part alone of which another copy is in flight")
+    {
+        REQUIRE(textOf(machine.onTime(Start + 20ms)) == "hedge0 hedge1 ");
+        CHECK(textOf(machine.onUnsent(0, denied, Start + 20ms)).empty());
+        CHECK(textOf(machine.onAnswered(0, Start + 25ms)).empty());
+        CHECK(textOf(machine.onAnswered(1, Start + 26ms)) == "answer ");
+    }
+}
--- a/test/unit/targetload_test.cpp
+++ b/test/unit/targetload_test.cpp
@@ -65,6 +65,19 @@
             CHECK(picksOfFirst(first, second, now) == 50);
         }
     }
+    SECTION("one that let several requests on end go without an answer fails, until it answers")
+    {
+        first.onSent();
+        first.onOverdue(now);
+        CHECK_FALSE(first.isFailing());
+        CHECK(first.isSilent());
+        first.onLost(now + 1s);
+        CHECK(first.isFailing());
+        first.onSent();
+        first.onAnswered(10ms, 10ms, now + 2s);
+        CHECK_FALSE(first.isFailing());
+        CHECK_FALSE(first.isSilent());
+    }
     SECTION("one that loses requests on end is avoided for longer, up to a bound")
     {
         Clock::time_point at = now;
