--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -111,7 +111,8 @@
             + "refused at once: the queues for its parts are too long for it to be in time";
     if (decision.what == "out_of_reach")
         return start
-            + "refused at once: this VM is cut off from the other domains and from too many targets";
+            + "refused at once: this VM is cut off from the other domains and from too many "
+              "targets";
     if (decision.what == "no_budget")
         return start + "not sent again to " + decision.service + ": the retry budget is spent";
     return start + decision.what + " " + decision.service + " " + decision.why;
--- a/src/core/reachmonitor.cpp
+++ b/src/core/reachmonitor.cpp
@@ -9,8 +9,8 @@
 
 /// How often other domains are pinged while targets do not suffice.
 constexpr std::chrono::milliseconds PingInterval{200};
-/// How long pings may go unanswered: three rounds, as datagrams are lost now and then, and the way to
-/// a VM that is busy and back.
+/// How long pings may go unanswered: three rounds, as datagrams are lost now and then, and the way
+/// to a VM that is busy and back.
 constexpr std::chrono::milliseconds SilencePatience{700};
 
 } // namespace
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -330,8 +330,7 @@
             {"service", handle->info.service},     {"in_flight", handle->load.inFlight()},
             {"limit", handle->load.limit()},       {"misdirected", handle->isMisdirected},
             {"slowness", handle->load.slowness()}, {"avoided", handle->load.isAvoided(now)},
-            {"failing", handle->load.isFailing()},
-            {"draining", handle->info.isDraining}};
+            {"failing", handle->load.isFailing()}, {"draining", handle->info.isDraining}};
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {{"samples", route.partLatencies.samples()},
                                  {"part_p50_us", route.partLatencies.quantile(0.5).count()},
--- a/src/entry/entrynode.cpp
+++ b/src/entry/entrynode.cpp
@@ -36,10 +36,9 @@
         if (!m_registry->tryPost(std::move(message)))
             logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
     };
-    m_entry = std::make_unique<EntryDuty>(m_settings, m_adapter, m_metrics,
-                                          EntrySinks{askRegistry, [askRegistry] {
-                                                         askRegistry(PingOtherDomains{});
-                                                     }});
+    m_entry = std::make_unique<EntryDuty>(
+        m_settings, m_adapter, m_metrics,
+        EntrySinks{askRegistry, [askRegistry] { askRegistry(PingOtherDomains{}); }});
     m_registry =
         std::make_unique<RegistryDuty>(m_settings, m_self, m_adapter, registrySinks(), m_metrics);
     if (m_settings.peerAddress)
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -31,8 +31,8 @@
 /// When to come back where queues are too long: twice a latency target of the users' slower
 /// queries, in which a queue that made one late has been worked off.
 constexpr milliseconds CrestRetryAfter{300};
-/// When to come back to a VM that is cut off from most targets: by then the balancer, which asks once
-/// a second and takes a VM out after two misses, may send callers elsewhere.
+/// When to come back to a VM that is cut off from most targets: by then the balancer, which asks
+/// once a second and takes a VM out after two misses, may send callers elsewhere.
 constexpr milliseconds CutOffRetryAfter{1000};
 
 /// These statuses promise a caller that its request has not run.
--- a/test/system/process.cpp
+++ b/test/system/process.cpp
@@ -40,6 +40,8 @@
         const int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        // A socket that the child shared would stay open when this process closes it.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execv(path.c_str(), argv.data());
         _exit(127);
     }
--- a/test/unit/membership_test.cpp
+++ b/test/unit/membership_test.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <map>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -356,3 +358,35 @@
         }
     }
 }
+
+TEST_CASE("A VM that doubts its reach pings other failure domains at once")
+{
+    Fleet fleet = joinedFleet(7, 1);
+    const std::string own = fleet.machine("vm0").self().member.failureDomain;
+    std::map<std::string, std::string> domains;
+    for (const MemberRecord &record : fleet.machine("vm1").table())
+        domains[record.member.peerAddress] = record.member.failureDomain;
+    const auto pinged = [&] {
+        std::set<std::string> addresses;
+        for (const MembershipAction &action : fleet.machine("vm0").pingOtherDomains())
+            if (const auto *heartbeat = std::get_if<SendHeartbeat>(&action))
+                addresses.insert(heartbeat->address);
+        return addresses;
+    };
+
+    SECTION("three VMs, none of its own domain")
+    {
+        const auto addresses = pinged();
+        CHECK(addresses.size() == 3);
+        for (const std::string &address : addresses)
+            CHECK(domains.at(address) != own);
+    }
+    SECTION("also those that count as dead, as they may be back")
+    {
+        for (const auto &[address, domain] : domains)
+            if (domain != own)
+                fleet.kill(address);
+        fleet.run(seconds(30));
+        CHECK(pinged().size() == 3);
+    }
+}
