--- a/test/unit/soakjudge_test.cpp
+++ b/test/unit/soakjudge_test.cpp
@@ -45,7 +45,8 @@
         for (const std::string &server : servers) {
             run(server, id, at + 5ms);
             bodies.push_back(serverRecords(m_evidence.serviceOf.at(server), id, true));
-            record.receipt = server + "." + id + ".1";
+            record.receipt = server;
+            record.receipt.append(".").append(id).append(".1");
             record.partReceipts.append(record.partReceipts.empty() ? "" : ", ");
             record.partReceipts.append(record.receipt);
         }
