Use one type of HTTP request and response, and one parser, on both paths

Cause: src/net had its own message and reader beside those of src/http, which are stricter (framing in more than one way, spaces in names, sizes of headers).

--- a/bench/addedlatency.cpp
+++ b/bench/addedlatency.cpp
@@ -54,13 +54,13 @@
     }
 };
 
-HttpMessage post(std::string path)
+HttpRequest post(std::string path)
 {
-    HttpMessage request;
+    HttpRequest request;
     request.method = "POST";
-    request.path = std::move(path);
-    request.headers["content-type"] = "application/json";
-    request.headers["deadline-ms"] = std::to_string(Timeout.count());
+    request.target = std::move(path);
+    request.headers.add("content-type", "application/json");
+    request.headers.add("deadline-ms", std::to_string(Timeout.count()));
     request.body = "{}";
     return request;
 }
@@ -93,12 +93,12 @@
         auto isGood = std::make_shared<bool>(true);
         for (std::size_t i = 0; i < m_replicas.size(); ++i) {
             auto &replicas = m_replicas[i];
-            HttpMessage request = post("/v1/services/" + m_service.name + "/shards/"
+            HttpRequest request = post("/v1/services/" + m_service.name + "/shards/"
                                        + m_service.shards[i].name + "/query");
-            request.headers["x-request-id"] = "plain-" + std::to_string(++m_lastRequest);
+            request.headers.add("x-request-id", "plain-" + std::to_string(++m_lastRequest));
             replicas[m_random() % replicas.size()]->send(
                 std::move(request), Timeout,
-                [left, isGood, done](ClientConnection::End end, const HttpMessage &response) {
+                [left, isGood, done](ClientConnection::End end, const HttpResponse &response) {
                     if (end != ClientConnection::End::Answered || response.status != 200)
                         *isGood = false;
                     if (--*left == 0)
@@ -167,7 +167,7 @@
             return;
         }
         m_tier.send(post("/v1/query/" + m_options.service), Timeout,
-                    [this, record](ClientConnection::End end, const HttpMessage &response) {
+                    [this, record](ClientConnection::End end, const HttpResponse &response) {
                         const bool isWhole = end == ClientConnection::End::Answered
                             && response.body.find("\"complete\":true") != std::string::npos;
                         record(tier, isWhole);
--- a/bench/crestload.cpp
+++ b/bench/crestload.cpp
@@ -18,7 +18,7 @@
 #include <asio/write.hpp>
 
 #include "base/address.h"
-#include "net/httpmessage.h"
+#include "http/messagereader.h"
 
 namespace {
 
@@ -62,8 +62,7 @@
 
     explicit Connection(asio::io_context &io)
         : m_socket(io)
-        , m_reader(HttpReader::Side::Responses, MaxBody,
-                   [this](const HttpMessage &response) { onResponse(response); })
+        , m_reader(MaxBody, [this](const HttpResponse &response) { onResponse(response); })
     {
     }
 
@@ -110,7 +109,7 @@
             });
     }
 
-    void onResponse(const HttpMessage &response)
+    void onResponse(const HttpResponse &response)
     {
         const bool isComplete = response.body.find("\"complete\":true") != std::string::npos;
         const bool isRefused = response.body.find("\"execution\":\"not_run\"") != std::string::npos
@@ -120,7 +119,7 @@
             how = isComplete ? End::Complete : End::Partial;
         else if (isRefused)
             how = End::Refused;
-        end(how, response.header("connection") != "close");
+        end(how, response.headers.value("connection") != "close");
     }
 
     void end(End how, bool isReusable)
@@ -134,7 +133,7 @@
     }
 
     tcp::socket m_socket;
-    HttpReader m_reader;
+    MessageReader<HttpResponse> m_reader;
     std::string m_bytes;
     OnEnd m_onEnd;
     std::array<char, 65536> m_buffer{};
@@ -184,11 +183,11 @@
             connection = std::move(m_idle[vm].back());
             m_idle[vm].pop_back();
         }
-        HttpMessage request;
+        HttpRequest request;
         request.method = "POST";
-        request.path = "/v1/query/" + m_stream.service;
-        request.headers["content-type"] = "application/json";
-        request.headers["deadline-ms"] = std::to_string(Deadline.count());
+        request.target = "/v1/query/" + m_stream.service;
+        request.headers.add("content-type", "application/json");
+        request.headers.add("deadline-ms", std::to_string(Deadline.count()));
         request.body = "{}";
         connection->send(
             m_vms[vm], formatRequest(request, "vm"),
--- a/bench/placementload.cpp
+++ b/bench/placementload.cpp
@@ -30,8 +30,8 @@
 
 #include "../test/system/deployment.h"
 #include "base/address.h"
+#include "http/messagereader.h"
 #include "mangoshift/clock.h"
-#include "net/httpmessage.h"
 
 namespace {
 
@@ -65,7 +65,7 @@
 class Caller : public std::enable_shared_from_this<Caller>
 {
 public:
-    using Done = std::function<void(const std::shared_ptr<Caller> &, HttpMessage)>;
+    using Done = std::function<void(const std::shared_ptr<Caller> &, HttpResponse)>;
     using OnClosed = std::function<void(const std::shared_ptr<Caller> &)>;
 
     Caller(asio::io_context &io, const std::string &address, Done done, OnClosed onClosed)
@@ -73,8 +73,8 @@
         , m_socket(io)
         , m_done(std::move(done))
         , m_onClosed(std::move(onClosed))
-        , m_reader(HttpReader::Side::Responses, 4U << 20U,
-                   [this](HttpMessage message) { m_done(shared_from_this(), std::move(message)); })
+        , m_reader(4U << 20U,
+                   [this](HttpResponse message) { m_done(shared_from_this(), std::move(message)); })
     {
         const Address parsed = *parseAddress(address);
         m_socket.connect(tcp::endpoint(asio::ip::make_address(parsed.ip), parsed.port));
@@ -84,10 +84,10 @@
     void send(Clock::time_point arrivedAt)
     {
         arrival = arrivedAt;
-        HttpMessage request;
+        HttpRequest request;
         request.method = "POST";
-        request.path = std::string("/v1/query/") + Service;
-        request.headers["content-type"] = "application/json";
+        request.target = std::string("/v1/query/") + Service;
+        request.headers.add("content-type", "application/json");
         request.body = "{}";
         m_outgoing = formatRequest(request, m_address);
         asio::async_write(m_socket, asio::buffer(m_outgoing),
@@ -122,7 +122,7 @@
     tcp::socket m_socket;
     Done m_done;
     OnClosed m_onClosed;
-    HttpReader m_reader;
+    MessageReader<HttpResponse> m_reader;
     std::array<char, 65536> m_buffer{};
     std::string m_outgoing;
 };
@@ -191,7 +191,7 @@
             ++m_open[vm];
             m_idle[vm].push_back(std::make_shared<Caller>(
                 m_io, m_addresses[vm],
-                [this, vm](const CallerPtr &caller, const HttpMessage &response) {
+                [this, vm](const CallerPtr &caller, const HttpResponse &response) {
                     onAnswer(*caller, response);
                     if (response.keepAlive)
                         m_idle[vm].push_back(caller);
@@ -207,7 +207,7 @@
         caller->send(at);
     }
 
-    void onAnswer(const Caller &caller, const HttpMessage &response)
+    void onAnswer(const Caller &caller, const HttpResponse &response)
     {
         if (caller.arrival < m_countFrom)
             return;
--- a/bench/shardcost.cpp
+++ b/bench/shardcost.cpp
@@ -139,13 +139,13 @@
 private:
     void send()
     {
-        HttpMessage request;
+        HttpRequest request;
         request.method = "POST";
-        request.path = "/v1/query/" + m_service;
-        request.headers["content-type"] = "application/json";
+        request.target = "/v1/query/" + m_service;
+        request.headers.add("content-type", "application/json");
         request.body = "{}";
         m_client.send(std::move(request), Timeout,
-                      [this](ClientConnection::End, const HttpMessage &response) {
+                      [this](ClientConnection::End, const HttpResponse &response) {
                           ++(response.body.find("\"complete\":true") == std::string::npos ? other
                                                                                           : whole);
                           if (steady_clock::now() < m_end)
--- a/src/app/callerclient.cpp
+++ b/src/app/callerclient.cpp
@@ -24,7 +24,7 @@
     : m_socket(io)
     , m_timer(io)
     , m_endpoint(asio::ip::make_address(address.ip), address.port)
-    , m_reader(HttpReader::Side::Responses, MaxResponseBytes, [this](HttpMessage response) {
+    , m_reader(MaxResponseBytes, [this](HttpResponse response) {
         const bool keepAlive = response.keepAlive;
         finish(End::Answered, std::move(response));
         if (!keepAlive)
@@ -96,7 +96,7 @@
         });
 }
 
-void ClientConnection::finish(End end, HttpMessage response)
+void ClientConnection::finish(End end, HttpResponse response)
 {
     m_timer.cancel();
     if (Done done = std::exchange(m_done, nullptr)) {
@@ -114,7 +114,7 @@
         m_vms.push_back({address, {}, 0, {}});
 }
 
-void CallerClient::send(HttpMessage request, std::chrono::milliseconds timeout, Done done)
+void CallerClient::send(HttpRequest request, std::chrono::milliseconds timeout, Done done)
 {
     start(std::make_shared<Request>(Request{std::move(request), timeout, std::move(done), 0}));
 }
@@ -132,7 +132,7 @@
     ++request->tries;
     connection->call(
         formatRequest(request->message, vm->address.toString()), request->timeout,
-        [this, vm, connection, request, wasReused](ClientConnection::End end, HttpMessage reply) {
+        [this, vm, connection, request, wasReused](ClientConnection::End end, HttpResponse reply) {
             onEnd(*vm, connection, request, wasReused, end, std::move(reply));
         });
 }
@@ -164,7 +164,7 @@
 }
 
 void CallerClient::onEnd(Vm &vm, const Connection &connection, const RequestPtr &request,
-                         bool wasReused, ClientConnection::End end, HttpMessage response)
+                         bool wasReused, ClientConnection::End end, HttpResponse response)
 {
     using End = ClientConnection::End;
     --vm.inUse;
--- a/src/app/callerclient.h
+++ b/src/app/callerclient.h
@@ -14,7 +14,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "base/address.h"
-#include "net/httpmessage.h"
+#include "http/messagereader.h"
 
 namespace mangoshift {
 
@@ -28,7 +28,7 @@
         Lost, ///< The connection closed under the request.
         TimedOut,
     };
-    using Done = std::function<void(End, HttpMessage)>;
+    using Done = std::function<void(End, HttpResponse)>;
 
     ClientConnection(asio::io_context &io, const Address &address);
 
@@ -44,12 +44,12 @@
     void connect();
     void write();
     void read();
-    void finish(End end, HttpMessage response);
+    void finish(End end, HttpResponse response);
 
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     asio::ip::tcp::endpoint m_endpoint;
-    HttpReader m_reader;
+    MessageReader<HttpResponse> m_reader;
     std::array<char, 65536> m_buffer{};
     std::string m_bytes;
     Done m_done;
@@ -71,7 +71,7 @@
                  std::size_t maxConnectionsPerVm);
 
     /// Sends a request to the next VM in turn, or lets it wait for a free connection.
-    void send(HttpMessage request, std::chrono::milliseconds timeout, Done done);
+    void send(HttpRequest request, std::chrono::milliseconds timeout, Done done);
 
 private:
     using Connection = std::shared_ptr<ClientConnection>;
@@ -85,7 +85,7 @@
     };
     struct Request
     {
-        HttpMessage message;
+        HttpRequest message;
         std::chrono::milliseconds timeout{0};
         Done done;
         std::size_t tries = 0;
@@ -97,7 +97,7 @@
     Vm *nextVm();
     Connection takeConnection(Vm &vm);
     void onEnd(Vm &vm, const Connection &connection, const RequestPtr &request, bool wasReused,
-               ClientConnection::End end, HttpMessage response);
+               ClientConnection::End end, HttpResponse response);
 
     asio::io_context &m_io;
     std::size_t m_maxConnectionsPerVm;
--- a/src/app/replayrows.cpp
+++ b/src/app/replayrows.cpp
@@ -36,7 +36,7 @@
     return it == m_shardCounts.end() ? 0 : it->second;
 }
 
-void RowChecker::check(const std::string &service, const HttpMessage &response,
+void RowChecker::check(const std::string &service, const HttpResponse &response,
                        Sample &sample) const
 {
     sample.shardsAsked = shardCount(service);
--- a/src/app/replayrows.h
+++ b/src/app/replayrows.h
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "app/replaymeasures.h"
+#include "http/httpexchange.h"
 #include "mangoshift/document.h"
-#include "net/httpmessage.h"
 
 namespace mangoshift {
 
@@ -19,7 +19,7 @@
     /// Returns how many shards a service has in the newest document.
     std::size_t shardCount(const std::string &service) const;
     /// Fills in what a response says, and where its rows contradict it.
-    void check(const std::string &service, const HttpMessage &response, Sample &sample) const;
+    void check(const std::string &service, const HttpResponse &response, Sample &sample) const;
 
 private:
     std::map<std::string, std::size_t> m_shardCounts;
--- a/src/app/replayrun.cpp
+++ b/src/app/replayrun.cpp
@@ -117,20 +117,20 @@
         const Arrival &arrival = m_arrivals[index];
         const std::string &name = m_trace.segments[arrival.segment].service;
         const milliseconds deadline = m_document.service(name)->deadline;
-        HttpMessage request;
+        HttpRequest request;
         request.method = "POST";
-        request.path = "/v1/query/" + name;
-        request.headers["content-type"] = "application/json";
+        request.target = "/v1/query/" + name;
+        request.headers.add("content-type", "application/json");
         request.body = "{}";
         m_client.send(
             std::move(request), deadline + ResponseGrace,
-            [this, index, deadline](ClientConnection::End end, const HttpMessage &response) {
+            [this, index, deadline](ClientConnection::End end, const HttpResponse &response) {
                 onEnd(index, deadline, end, response);
             });
     }
 
     void onEnd(std::size_t index, milliseconds deadline, ClientConnection::End end,
-               const HttpMessage &response)
+               const HttpResponse &response)
     {
         const Arrival &arrival = m_arrivals[index];
         const std::string &service = m_trace.segments[arrival.segment].service;
--- a/src/duties/homeduty.cpp
+++ b/src/duties/homeduty.cpp
@@ -445,12 +445,12 @@
     PooledRequest request;
     request.callId = "health-" + std::to_string(++m_lastHealthCheck);
     request.message.method = "GET";
-    request.message.path = "/healthz";
+    request.message.target = "/healthz";
     request.deadline = Clock::now() + HealthTimeout;
     request.isCancellable = false;
     poolOf(target).send(std::move(request), [this, name = target.name](const HttpResult &result) {
         if (result.end == HttpResult::End::Replied && result.response.status == HealthyStatus
-            && result.response.header("mangoshift-draining") != "true")
+            && result.response.headers.value("mangoshift-draining") != "true")
             perform(m_scheduler.onServing(name, Clock::now()));
     });
 }
--- a/src/duties/targetprotocol.cpp
+++ b/src/duties/targetprotocol.cpp
@@ -37,15 +37,15 @@
     return first != std::string::npos && text[first] == '[' && nlohmann::json::accept(text);
 }
 
-Verdict refusalOf(const HttpMessage &response)
+Verdict refusalOf(const HttpResponse &response)
 {
-    if (response.header("mangoshift-cancelled") == "true")
+    if (response.headers.value("mangoshift-cancelled") == "true")
         return {Execution::MayHaveRun, Reason::Cancelled};
-    const bool isUnrun = response.header("mangoshift-verdict") == "not-run";
-    const std::chrono::seconds retryAfter(toNumber(response.header("retry-after")));
+    const bool isUnrun = response.headers.value("mangoshift-verdict") == "not-run";
+    const std::chrono::seconds retryAfter(toNumber(response.headers.value("retry-after")));
     if (!isUnrun)
         return {Execution::MayHaveRun, Reason::Failed, retryAfter};
-    if (response.header("mangoshift-draining") == "true")
+    if (response.headers.value("mangoshift-draining") == "true")
         return {Execution::NotRun, Reason::Draining, retryAfter};
     if (response.status == StatusConflict)
         return {Execution::NotRun, Reason::SnapshotGone, retryAfter};
@@ -72,24 +72,24 @@
     return std::to_string(incarnation) + "-" + std::to_string(call);
 }
 
-HttpMessage toTargetRequest(const ShardRequest &request, const std::string &shard,
+HttpRequest toTargetRequest(const ShardRequest &request, const std::string &shard,
                             Clock::time_point now)
 {
     const RequestBody &body = *request.body;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
-    HttpMessage message;
+    HttpRequest message;
     message.method = "POST";
-    message.path = "/v1/services/" + body.service + "/shards/" + shard
+    message.target = "/v1/services/" + body.service + "/shards/" + shard
         + (body.isIdempotent ? "/query" : "/submit");
-    message.headers["content-type"] = "application/json";
-    message.headers["deadline-ms"] = std::to_string(std::max<std::int64_t>(left.count(), 1));
-    message.headers["x-request-id"] = body.requestId;
+    message.headers.add("content-type", "application/json");
+    message.headers.add("deadline-ms", std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    message.headers.add("x-request-id", body.requestId);
     if (request.snapshot != 0)
-        message.headers["mangoshift-snapshot"] = std::to_string(request.snapshot);
+        message.headers.add("mangoshift-snapshot", std::to_string(request.snapshot));
     if (!body.traceparent.empty())
-        message.headers["traceparent"] = body.traceparent;
+        message.headers.add("traceparent", body.traceparent);
     if (!body.idempotencyKey.empty())
-        message.headers["idempotency-key"] = body.idempotencyKey;
+        message.headers.add("idempotency-key", body.idempotencyKey);
     message.body = body.body;
     return message;
 }
@@ -103,13 +103,13 @@
         outcome.verdict = verdictWithoutResponse(result);
         return outcome;
     }
-    const HttpMessage &response = result.response;
-    outcome.held = toRange(response.header("mangoshift-snapshots"));
+    const HttpResponse &response = result.response;
+    outcome.held = toRange(response.headers.value("mangoshift-snapshots"));
     if (response.status != StatusOk) {
         outcome.verdict = refusalOf(response);
         return outcome;
     }
-    outcome.snapshot = toNumber(response.header("mangoshift-snapshot"));
+    outcome.snapshot = toNumber(response.headers.value("mangoshift-snapshot"));
     if (outcome.snapshot == 0 || !isJsonArray(response.body)) {
         outcome.verdict = {Execution::Ran, Reason::BadReply};
         return outcome;
--- a/src/duties/targetprotocol.h
+++ b/src/duties/targetprotocol.h
@@ -3,10 +3,10 @@
 #include <cstdint>
 #include <string>
 
+#include "http/httpexchange.h"
 #include "mangoshift/clock.h"
 #include "mangoshift/outcome.h"
 #include "mangoshift/slotscheduler.h"
-#include "net/httpmessage.h"
 #include "net/targetpool.h"
 
 namespace mangoshift {
@@ -15,7 +15,7 @@
 std::string callIdOf(std::uint64_t incarnation, CallId call);
 
 /// Returns the HTTP request that asks a target for one shard, as docs/PROTOCOLS.md has it.
-HttpMessage toTargetRequest(const ShardRequest &request, const std::string &shard,
+HttpRequest toTargetRequest(const ShardRequest &request, const std::string &shard,
                             Clock::time_point now);
 
 /// Returns what an exchange with a target means. The verdict is `NotRun` only where no byte was
--- a/src/http/httpexchange.cpp
+++ b/src/http/httpexchange.cpp
@@ -100,6 +100,14 @@
     bytes += request.body;
 }
 
+std::string formatRequest(HttpRequest request, std::string_view host)
+{
+    request.headers.add("host", std::string(host));
+    std::string bytes;
+    appendRequest(bytes, request);
+    return bytes;
+}
+
 void appendResponse(std::string &bytes, const HttpResponse &response, bool isHead)
 {
     bytes += "HTTP/1.1 " + std::to_string(response.status) + " "
--- a/src/http/httpexchange.h
+++ b/src/http/httpexchange.h
@@ -56,6 +56,8 @@
 
 /// Appends the bytes of a request, its length header included where it has a body.
 void appendRequest(std::string &bytes, const HttpRequest &request);
+/// Returns the bytes of a request to `host`.
+std::string formatRequest(HttpRequest request, std::string_view host);
 /// Appends the bytes of a response with its length. `isHead` leaves out the body.
 void appendResponse(std::string &bytes, const HttpResponse &response, bool isHead);
 
--- /dev/null
+++ b/src/http/messagereader.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <type_traits>
+#include <utility>
+
+#include "http/httpexchange.h"
+#include "http/httpparser.h"
+
+namespace mangoshift {
+
+/// Hands on each whole message of a connection. `Message` is `HttpRequest` or `HttpResponse`.
+template <typename Message>
+class MessageReader
+{
+public:
+    using Handler = std::function<void(Message)>;
+
+    /// Messages with a body over `maxBody` bytes count as malformed.
+    MessageReader(std::size_t maxBody, Handler handler)
+        : m_parser(IsRequest ? HttpParser::Side::Requests : HttpParser::Side::Responses,
+                   {MaxHeaderBytes, maxBody})
+        , m_handler(std::move(handler))
+    {
+    }
+
+    /// Takes bytes as they come. Returns false once they are not valid HTTP.
+    bool feed(const char *bytes, std::size_t size)
+    {
+        while (size > 0) {
+            const std::size_t taken = m_parser.feed(bytes, size);
+            bytes += taken;
+            size -= taken;
+            if (m_parser.fault() != HttpFault::None)
+                return false;
+            if (!m_parser.isComplete())
+                return true;
+            if constexpr (IsRequest)
+                m_handler(m_parser.takeRequest());
+            else
+                m_handler(m_parser.takeResponse());
+        }
+        return true;
+    }
+
+private:
+    static constexpr bool IsRequest = std::is_same_v<Message, HttpRequest>;
+    /// Far more than either side sends.
+    static constexpr std::size_t MaxHeaderBytes = 64U << 10U;
+
+    HttpParser m_parser;
+    Handler m_handler;
+};
+
+} // namespace mangoshift
--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -18,8 +18,7 @@
     : m_pool(&pool)
     , m_socket(io)
     , m_deadline(io)
-    , m_reader(HttpReader::Side::Responses, MaxResponseBytes,
-               [this](HttpMessage message) { onResponse(std::move(message)); })
+    , m_reader(MaxResponseBytes, [this](HttpResponse message) { onResponse(std::move(message)); })
 {
 }
 
@@ -121,7 +120,7 @@
     }
 }
 
-void TargetConnection::onResponse(HttpMessage message)
+void TargetConnection::onResponse(HttpResponse message)
 {
     if (!m_done) {
         // An answer that nobody asked for: the connection is out of step.
--- a/src/net/targetconnection.h
+++ b/src/net/targetconnection.h
@@ -8,8 +8,8 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include "http/messagereader.h"
 #include "mangoshift/clock.h"
-#include "net/httpmessage.h"
 #include "net/targetpool.h"
 
 namespace mangoshift {
@@ -40,13 +40,13 @@
     void read();
     void armDeadline(Clock::time_point at);
     void onDeadline();
-    void onResponse(HttpMessage message);
+    void onResponse(HttpResponse message);
     void close(HttpResult::End end);
 
     TargetPool *m_pool;
     asio::ip::tcp::socket m_socket;
     asio::basic_waitable_timer<Clock> m_deadline;
-    HttpReader m_reader;
+    MessageReader<HttpResponse> m_reader;
     PooledRequest m_request;
     TargetPool::Done m_done;
     std::array<char, 16U << 10U> m_buffer{};
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -39,7 +39,7 @@
 
 void TargetPool::send(PooledRequest request, Done done)
 {
-    request.message.headers["x-call-id"] = request.callId;
+    request.message.headers.add("x-call-id", request.callId);
     m_waiting.push_back(Waiting{std::move(request), std::move(done)});
     startWaiting();
 }
@@ -127,7 +127,7 @@
     Waiting cancellation;
     cancellation.request.callId = CancellationPrefix + callId;
     cancellation.request.message.method = "DELETE";
-    cancellation.request.message.path = "/v1/requests/" + callId;
+    cancellation.request.message.target = "/v1/requests/" + callId;
     cancellation.request.deadline = Clock::now() + m_timeouts.grace;
     cancellation.request.isCancellable = false;
     cancellation.done = [](const HttpResult &) {};
--- a/src/net/targetpool.h
+++ b/src/net/targetpool.h
@@ -14,8 +14,8 @@
 #include <asio/io_context.hpp>
 
 #include "base/address.h"
+#include "http/httpexchange.h"
 #include "mangoshift/clock.h"
-#include "net/httpmessage.h"
 
 namespace mangoshift {
 
@@ -30,7 +30,7 @@
     /// Whether the target answered on another connection while this one stayed without an answer:
     /// then it is the connection that is at fault.
     bool isTargetResponsive = false;
-    HttpMessage response; ///< Valid where `end` is `Replied`.
+    HttpResponse response; ///< Valid where `end` is `Replied`.
 };
 
 /// A request to a target, as a pool takes it.
@@ -38,7 +38,7 @@
 {
     /// Names the request to the target in `x-call-id` and in its cancellation.
     std::string callId;
-    HttpMessage message;
+    HttpRequest message;
     Clock::time_point deadline;
     /// Whether the target is told when the answer is no longer needed.
     bool isCancellable = true;
--- a/standins/faketarget/controlport.cpp
+++ b/standins/faketarget/controlport.cpp
@@ -26,17 +26,17 @@
             std::make_shared<ServedConnection>(
                 std::move(socket),
                 [this](const std::shared_ptr<ServedConnection> &connection,
-                       const HttpMessage &request) { connection->respond(handle(request)); })
+                       const HttpRequest &request) { connection->respond(handle(request)); })
                 ->start([] {});
         start();
     });
 }
 
-HttpMessage ControlPort::handle(const HttpMessage &request)
+HttpResponse ControlPort::handle(const HttpRequest &request)
 {
-    HttpMessage response;
+    HttpResponse response;
     response.status = 200;
-    if (request.method == "GET" && request.path == "/records") {
+    if (request.method == "GET" && request.target == "/records") {
         Json records;
         for (const auto &[name, target] : m_targets)
             records[name] = target->recordJson();
@@ -45,11 +45,11 @@
     }
     const std::string prefix = "/targets/";
     const Json change = Json::parse(request.body, nullptr, false);
-    if (request.path.rfind(prefix, 0) != 0 || !change.is_object()) {
+    if (request.target.rfind(prefix, 0) != 0 || !change.is_object()) {
         response.status = 400;
         return response;
     }
-    const std::string name = request.path.substr(prefix.size());
+    const std::string name = request.target.substr(prefix.size());
     for (auto &[each, target] : m_targets) {
         if (name != "*" && name != each)
             continue;
--- a/standins/faketarget/controlport.h
+++ b/standins/faketarget/controlport.h
@@ -9,7 +9,7 @@
 
 #include "base/address.h"
 #include "faketarget/target.h"
-#include "net/httpmessage.h"
+#include "http/httpexchange.h"
 
 namespace mangoshift {
 
@@ -24,7 +24,7 @@
     void start();
 
 private:
-    HttpMessage handle(const HttpMessage &request);
+    HttpResponse handle(const HttpRequest &request);
 
     asio::ip::tcp::acceptor m_acceptor;
     Targets m_targets;
--- a/standins/faketarget/target.cpp
+++ b/standins/faketarget/target.cpp
@@ -81,7 +81,7 @@
     }
     ++m_record.connectionsOpened;
     const auto connection = std::make_shared<ServedConnection>(
-        std::move(socket), [this](const ConnectionPtr &from, HttpMessage request) {
+        std::move(socket), [this](const ConnectionPtr &from, HttpRequest request) {
             onRequest(from, std::move(request));
         });
     m_connections.insert(connection);
@@ -95,30 +95,30 @@
     });
 }
 
-void FakeTarget::onRequest(const ConnectionPtr &connection, HttpMessage request)
+void FakeTarget::onRequest(const ConnectionPtr &connection, HttpRequest request)
 {
     if (m_behaviour.isSilent || m_silenced.contains(connection))
         return;
     if (request.method == "DELETE") {
-        cancel(request.path.substr(request.path.rfind('/') + 1));
+        cancel(request.target.substr(request.target.rfind('/') + 1));
         connection->respond(plain(204));
         return;
     }
-    if (request.path == "/healthz" || request.path == "/load") {
-        HttpMessage response = plain(m_behaviour.isDraining ? 503 : 200);
+    if (request.target == "/healthz" || request.target == "/load") {
+        HttpResponse response = plain(m_behaviour.isDraining ? 503 : 200);
         if (m_behaviour.isDraining)
-            response.headers["mangoshift-draining"] = "true";
+            response.headers.add("mangoshift-draining", "true");
         response.body = Json{{"slots", m_target.slots}, {"in_use", m_running.size()}}.dump();
         connection->respond(response);
         return;
     }
     const auto work = std::make_shared<Work>();
     work->connection = connection;
-    if (!readPath(request.path, *work)) {
+    if (!readPath(request.target, *work)) {
         connection->respond(plain(404));
         return;
     }
-    const std::string text(request.header("deadline-ms"));
+    const std::string text(request.headers.value("deadline-ms"));
     const auto left = text.empty() ? 10000L : std::strtol(text.c_str(), nullptr, 10);
     work->deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(left);
     work->request = std::move(request);
@@ -149,7 +149,7 @@
         refuse(work, 503, {{"mangoshift-draining", "true"}});
         return;
     }
-    const std::string pin(work->request.header("mangoshift-snapshot"));
+    const std::string pin(work->request.headers.value("mangoshift-snapshot"));
     const std::uint64_t snapshot = std::strtoull(pin.c_str(), nullptr, 10);
     if (snapshot != 0
         && (snapshot < m_behaviour.oldestSnapshot || snapshot > m_behaviour.newestSnapshot)) {
@@ -182,10 +182,10 @@
     }
     m_running.insert(work);
     m_record.mostRunning = std::max(m_record.mostRunning, m_running.size());
-    const std::string_view key = work->request.header("idempotency-key");
+    const std::string_view key = work->request.headers.value("idempotency-key");
     if (work->isSubmission)
-        ++m_record
-              .submissions[std::string(key.empty() ? work->request.header("x-request-id") : key)];
+        ++m_record.submissions[std::string(key.empty() ? work->request.headers.value("x-request-id")
+                                                       : key)];
     else
         ++m_record.queriesRun;
     // Between half and one and a half times the mean, evenly.
@@ -212,16 +212,16 @@
 
 void FakeTarget::answer(const Work &work)
 {
-    const std::string pin(work.request.header("mangoshift-snapshot"));
+    const std::string pin(work.request.headers.value("mangoshift-snapshot"));
     const std::uint64_t asked = std::strtoull(pin.c_str(), nullptr, 10);
     const std::uint64_t snapshot = asked == 0 ? m_behaviour.newestSnapshot : asked;
-    HttpMessage response = plain(200);
-    response.headers["mangoshift-snapshot"] = std::to_string(snapshot);
-    response.headers["content-type"] = "application/json";
+    HttpResponse response = plain(200);
+    response.headers.add("mangoshift-snapshot", std::to_string(snapshot));
+    response.headers.add("content-type", "application/json");
     response.body = Json::array({{{"shard", work.shard},
                                   {"snapshot", snapshot},
                                   {"target", m_target.name},
-                                  {"request", work.request.header("x-request-id")}}})
+                                  {"request", work.request.headers.value("x-request-id")}}})
                         .dump();
     work.connection->respond(response);
 }
@@ -244,12 +244,13 @@
 void FakeTarget::cancel(const std::string &callId)
 {
     const auto withdraw = [&](const WorkPtr &work) {
-        if (work->request.header("x-call-id") != callId || work->isSubmission || work->isCancelled)
+        if (work->request.headers.value("x-call-id") != callId || work->isSubmission
+            || work->isCancelled)
             return;
         work->isCancelled = true;
         ++m_record.cancelled;
-        HttpMessage response = plain(409);
-        response.headers["mangoshift-cancelled"] = "true";
+        HttpResponse response = plain(409);
+        response.headers.add("mangoshift-cancelled", "true");
         work->connection->respond(response);
         if (work->timer)
             work->timer->cancel(); // Its run ends now, and its slot is free.
@@ -260,22 +261,23 @@
         withdraw(work);
 }
 
-HttpMessage FakeTarget::plain(int status) const
+HttpResponse FakeTarget::plain(int status) const
 {
-    HttpMessage response;
+    HttpResponse response;
     response.status = status;
-    response.headers["mangoshift-snapshots"] = std::to_string(m_behaviour.oldestSnapshot) + "-"
-        + std::to_string(m_behaviour.newestSnapshot);
+    response.headers.add("mangoshift-snapshots",
+                         std::to_string(m_behaviour.oldestSnapshot) + "-"
+                             + std::to_string(m_behaviour.newestSnapshot));
     return response;
 }
 
 void FakeTarget::refuse(const WorkPtr &work, int status,
                         const std::vector<std::pair<std::string, std::string>> &headers)
 {
-    HttpMessage response = plain(status);
-    response.headers["mangoshift-verdict"] = "not-run";
+    HttpResponse response = plain(status);
+    response.headers.add("mangoshift-verdict", "not-run");
     for (const auto &[name, value] : headers)
-        response.headers[name] = value;
+        response.headers.add(name, value);
     work->connection->respond(response);
 }
 
--- a/standins/faketarget/target.h
+++ b/standins/faketarget/target.h
@@ -58,7 +58,7 @@
     struct Work
     {
         ConnectionPtr connection;
-        HttpMessage request;
+        HttpRequest request;
         std::string shard;
         std::string service;
         std::chrono::steady_clock::time_point deadline;
@@ -72,7 +72,7 @@
     void accept();
     void closeConnections();
     void admit(asio::ip::tcp::socket socket);
-    void onRequest(const ConnectionPtr &connection, HttpMessage request);
+    void onRequest(const ConnectionPtr &connection, HttpRequest request);
     /// Reads `/v1/services/S/shards/N/query` or `…/submit`.
     static bool readPath(const std::string &path, Work &work);
     void take(const WorkPtr &work);
@@ -83,7 +83,7 @@
     void answer(const Work &work);
     void startNext();
     void cancel(const std::string &callId);
-    HttpMessage plain(int status) const;
+    HttpResponse plain(int status) const;
     void refuse(const WorkPtr &work, int status,
                 const std::vector<std::pair<std::string, std::string>> &headers);
 
--- a/standins/httplistener.h
+++ b/standins/httplistener.h
@@ -10,7 +10,7 @@
 #include <asio/write.hpp>
 
 #include "base/address.h"
-#include "net/httpmessage.h"
+#include "http/messagereader.h"
 
 namespace mangoshift {
 
@@ -18,12 +18,12 @@
 class ServedConnection : public std::enable_shared_from_this<ServedConnection>
 {
 public:
-    using OnRequest = std::function<void(const std::shared_ptr<ServedConnection> &, HttpMessage)>;
+    using OnRequest = std::function<void(const std::shared_ptr<ServedConnection> &, HttpRequest)>;
 
     ServedConnection(asio::ip::tcp::socket socket, OnRequest onRequest)
         : m_socket(std::move(socket))
         , m_onRequest(std::move(onRequest))
-        , m_reader(HttpReader::Side::Requests, MaxBodyBytes, [this](HttpMessage message) {
+        , m_reader(MaxBodyBytes, [this](HttpRequest message) {
             m_onRequest(shared_from_this(), std::move(message));
         })
     {
@@ -37,9 +37,10 @@
         read();
     }
 
-    void respond(const HttpMessage &response)
+    void respond(const HttpResponse &response)
     {
-        const auto bytes = std::make_shared<std::string>(formatResponse(response));
+        const auto bytes = std::make_shared<std::string>();
+        appendResponse(*bytes, response, false);
         asio::async_write(m_socket, asio::buffer(*bytes),
                           [self = shared_from_this(), bytes](asio::error_code, std::size_t) {});
     }
@@ -73,7 +74,7 @@
     asio::ip::tcp::socket m_socket;
     OnRequest m_onRequest;
     std::function<void()> m_onClosed;
-    HttpReader m_reader;
+    MessageReader<HttpRequest> m_reader;
     std::array<char, 16384> m_buffer{};
 };
 
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -310,19 +310,19 @@
 using Links = std::vector<std::unique_ptr<Link>>;
 
 /// The control address: `PUT /rules` replaces the rules, `PUT /silence` silences what stands.
-HttpMessage control(const HttpMessage &request, Rules &rules, Links &links)
+HttpResponse control(const HttpRequest &request, Rules &rules, Links &links)
 {
-    HttpMessage response;
+    HttpResponse response;
     response.status = 200;
     const Json body = Json::parse(request.body, nullptr, false);
-    if (request.method == "PUT" && request.path == "/rules" && body.is_array()) {
+    if (request.method == "PUT" && request.target == "/rules" && body.is_array()) {
         rules.set(body);
         for (const auto &link : links)
             link->applyRules();
-    } else if (request.method == "PUT" && request.path == "/silence") {
+    } else if (request.method == "PUT" && request.target == "/silence") {
         for (const auto &link : links)
             link->silence();
-    } else if (request.path != "/healthz") {
+    } else if (request.target != "/healthz") {
         response.status = 400;
     }
     return response;
@@ -335,7 +335,7 @@
             std::make_shared<ServedConnection>(
                 std::move(socket),
                 [&](const std::shared_ptr<ServedConnection> &connection,
-                    const HttpMessage &request) {
+                    const HttpRequest &request) {
                     connection->respond(control(request, rules, links));
                 })
                 ->start([] {});
--- a/test/unit/replay_test.cpp
+++ b/test/unit/replay_test.cpp
@@ -46,9 +46,9 @@
     return document;
 }
 
-HttpMessage answerOf(const std::string &rows, int answered, const std::string &missing)
+HttpResponse answerOf(const std::string &rows, int answered, const std::string &missing)
 {
-    HttpMessage response;
+    HttpResponse response;
     response.status = 200;
     response.body = R"({"request_id":"r","snapshot":4,"complete":)"
         + std::string(answered == 2 ? "true" : "false") + R"(,"shards":{"asked":2,"answered":)"
@@ -196,7 +196,7 @@
     }
     SECTION("a problem that was not run is a refusal")
     {
-        HttpMessage response;
+        HttpResponse response;
         response.status = 503;
         response.body = R"({"execution":"not_run"})";
         checker.check("s", response, sample);
--- a/test/unit/targetpool_test.cpp
+++ b/test/unit/targetpool_test.cpp
@@ -29,7 +29,7 @@
     struct Request
     {
         Connection connection;
-        HttpMessage message;
+        HttpRequest message;
     };
 
     explicit ScriptedTarget(asio::io_context &io)
@@ -45,7 +45,7 @@
                 return;
             ++accepted;
             const auto connection = std::make_shared<ServedConnection>(
-                std::move(socket), [this](const Connection &from, HttpMessage message) {
+                std::move(socket), [this](const Connection &from, HttpRequest message) {
                     requests.push_back({from, std::move(message)});
                 });
             connections.push_back(connection);
@@ -56,7 +56,7 @@
 
     void answer(std::size_t request)
     {
-        HttpMessage response;
+        HttpResponse response;
         response.status = 200;
         requests.at(request).connection->respond(response);
     }
@@ -82,7 +82,7 @@
         PooledRequest request;
         request.callId = callId;
         request.message.method = "POST";
-        request.message.path = "/";
+        request.message.target = "/";
         request.deadline = Clock::now() + timeout;
         pool->send(std::move(request),
                    [this](const HttpResult &result) { results.push_back(result); });
@@ -119,7 +119,7 @@
         bench.target.answer(0);
         REQUIRE(bench.runUntil([&] { return bench.target.requests.size() == 3; }));
         CHECK(bench.target.accepted == 2);
-        CHECK(bench.target.requests[2].message.header("x-call-id") == "3");
+        CHECK(bench.target.requests[2].message.headers.value("x-call-id") == "3");
     }
 
     SECTION("a waiting request that is cancelled ends unsent")
@@ -158,7 +158,7 @@
     bench.pool->cancel("7-1");
     REQUIRE(bench.runUntil([&] { return bench.target.requests.size() == 2; }));
     CHECK(bench.target.requests[1].message.method == "DELETE");
-    CHECK(bench.target.requests[1].message.path == "/v1/requests/7-1");
+    CHECK(bench.target.requests[1].message.target == "/v1/requests/7-1");
     CHECK(bench.target.requests[1].connection != bench.target.requests[0].connection);
     bench.target.answer(1);
 
