--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -58,6 +58,16 @@
                        .Register(*m_registry))
     , entrySends(counters(*m_registry, "mangoshift_entry_sends_total",
                           "Requests given to targets, and extra ones denied"))
+    , ready(gauges(*m_registry, "mangoshift_ready", "One while this VM is ready").Add({}))
+    , requestsUnderWay(gauges(*m_registry, "mangoshift_entry_requests_under_way",
+                              "Requests that are not answered yet")
+                           .Add({}))
+    , stateAge(
+          gauges(*m_registry, "mangoshift_state_age_seconds", "Age of what is known of the store")
+              .Add({}))
+    , logLinesLeftOut(
+          gauges(*m_registry, "mangoshift_log_lines_left_out", "Log lines left out since the start")
+              .Add({}))
     , storeReads(counters(*m_registry, "mangoshift_store_reads_total", "Reads of the store"))
     , peerReads(counters(*m_registry, "mangoshift_peer_reads_total",
                          "Questions to other VMs for the state of the store"))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -60,6 +60,14 @@
     /// Requests that an entry VM gave to targets, by `cause` (`first`, `hedge`, `retry`), and extra
     /// ones that it did not send for want of budget, as `denied`.
     prometheus::Family<prometheus::Counter> &entrySends;
+    /// One while this VM is ready, else zero.
+    prometheus::Gauge &ready;
+    /// Requests of callers at this entry VM that are not answered yet.
+    prometheus::Gauge &requestsUnderWay;
+    /// How old what this VM knows of the store is, in seconds.
+    prometheus::Gauge &stateAge;
+    /// Log lines that were left out since the start, for want of room.
+    prometheus::Gauge &logLinesLeftOut;
     /// Reads of the store, by `outcome` (`ok`, `refused`, `failed`, `history_gone`).
     prometheus::Family<prometheus::Counter> &storeReads;
     /// Questions to other VMs for the state of the store, by `outcome` (`ok`, `failed`).
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -157,6 +157,7 @@
 {
     const bool isCutOff = m_state.reach.isCutOff();
     const bool isReady = m_routing && m_hasListed && !m_isLeaving && !isCutOff;
+    m_state.metrics.ready.Set(isReady ? 1 : 0);
     if (m_isReady.exchange(isReady) != isReady)
         logEvent(LogLevel::Info, isReady ? "vm_ready" : "vm_not_ready",
                  {{"config_version", std::to_string(m_routing ? m_routing->version() : 0)},
@@ -286,6 +287,8 @@
     m_state.directory.sweep(now);
     m_state.budgets.sweep(now);
     updateReach(now);
+    m_state.metrics.requestsUnderWay.Set(static_cast<double>(m_exchanges.size()));
+    m_state.metrics.logLinesLeftOut.Set(static_cast<double>(logLinesLeftOut()));
     if (m_isLeaving)
         sweepLeaving(now);
 }
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -150,6 +150,9 @@
         if (error)
             return;
         m_members->onTick();
+        if (m_known.isKnown())
+            m_metrics.stateAge.Set(
+                std::chrono::duration<double>(Clock::now() - m_known.heardAt()).count());
         armMemberTick();
     });
 }
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -300,13 +300,28 @@
                      {"state", state},
                      {"warmup_left_ms", warmupMs},
                      {"seq", ++slot.sequence}};
-    mustObey(storeOrders(), "PUT", "/item?servers/" + slot.id, entry.dump());
+    whenStoreAnswers([this, id = slot.id, text = entry.dump()] {
+        mustObey(storeOrders(), "PUT", "/item?servers/" + id, text);
+        // The last word of a leaving server counts from its acknowledgement on.
+        if (Json::parse(text).at("state") == "draining")
+            m_known.departures.push_back({id, Clock::now()});
+    });
 }
 
 void World::withdraw(const ServerSlot &slot)
 {
-    mustObey(storeOrders(), "DELETE", "/item?servers/" + slot.id, "");
-    m_known.departures.push_back({slot.id, Clock::now()});
+    whenStoreAnswers([this, id = slot.id] {
+        mustObey(storeOrders(), "DELETE", "/item?servers/" + id, "");
+        m_known.departures.push_back({id, Clock::now()});
+    });
+}
+
+void World::whenStoreAnswers(std::function<void()> order)
+{
+    if (m_isStoreFrozen)
+        m_deferred.push_back(std::move(order));
+    else
+        order();
 }
 
 Json World::documentOf(std::size_t version) const
@@ -414,12 +429,18 @@
 
 void World::act(const SetStore &action)
 {
-    mustObey(storeOrders(), "POST", "/mode", action.mode);
+    whenStoreAnswers(
+        [this, mode = action.mode] { mustObey(storeOrders(), "POST", "/mode", mode); });
 }
 
 void World::act(const SignalStore &action)
 {
     m_store->signal(action.signal);
+    m_isStoreFrozen = action.signal == SIGSTOP;
+    if (m_isStoreFrozen)
+        return;
+    for (const auto &order : std::exchange(m_deferred, {}))
+        order();
 }
 
 void World::act(const SignalServers &action)
@@ -471,7 +492,6 @@
 {
     ServerSlot &slot = m_groups.at(action.group).slots.at(static_cast<std::size_t>(action.server));
     announce(action.group, slot, "draining", 0);
-    m_known.departures.push_back({slot.id, Clock::now()});
 }
 
 void World::act(const EndServer &action)
@@ -505,6 +525,11 @@
 }
 
 void World::act(const PublishNext &)
+{
+    whenStoreAnswers([this] { publishNext(); });
+}
+
+void World::publishNext()
 {
     const Json document = documentOf(m_version);
     Published published;
--- a/test/soak/world.h
+++ b/test/soak/world.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -84,6 +85,9 @@
     void act(const ChangeSettings &action);
     void act(const SetPressure &action);
 
+    /// Gives an order that needs the store at once, or when it is no longer frozen.
+    void whenStoreAnswers(std::function<void()> order);
+    void publishNext();
     void startStore();
     void makeSlots(int group);
     void startServers(int group);
@@ -122,6 +126,8 @@
     int m_lastServer = 0;
     double m_pressure = 1.0;
     bool m_isStoreFrozen = false;
+    /// Orders that wait for the store to answer again.
+    std::vector<std::function<void()>> m_deferred;
     Evidence m_known;
 };
 
