--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -132,17 +132,6 @@
                message);
 }
 
-void RegistryDuty::onView(MemberViewPtr view)
-{
-    m_sinks.onFleetSize(m_members->membership().table().size());
-    m_sinks.onMembers(view);
-    m_picker.setMembers(std::move(view));
-    m_pool.onMembers(m_members->membership(), Clock::now());
-    // A starting VM asks the first that it hears of.
-    if (!m_known.isKnown() && !m_asking)
-        askNext();
-}
-
 void RegistryDuty::armMemberTick()
 {
     m_memberTick.expires_after(m_known.isKnown() ? membershipOptions().tick : JoinTick);
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -43,6 +43,17 @@
     }
 }
 
+void RegistryDuty::onView(MemberViewPtr view)
+{
+    m_sinks.onFleetSize(m_members->membership().table().size());
+    m_sinks.onMembers(view);
+    m_picker.setMembers(std::move(view));
+    m_pool.onMembers(m_members->membership(), Clock::now());
+    // A starting VM asks the first that it hears of.
+    if (!m_known.isKnown() && !m_asking)
+        askNext();
+}
+
 void RegistryDuty::askPeer(const VmId &vm)
 {
     wire::StatePullT pull;
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -359,37 +359,6 @@
             m_state.directory.onOverdue(copy.target, now);
 }
 
-void RequestExchange::onCallerLeft()
-{
-    if (m_isFinished)
-        return;
-    report(0, "caller_left", {Execution::MayHaveRun, Reason::Cancelled});
-    finish(LeftPatience);
-}
-
-void RequestExchange::giveUp(Reason reason)
-{
-    if (m_isFinished)
-        return;
-    const bool hasSent = std::any_of(m_parts.begin(), m_parts.end(),
-                                     [](const Part &part) { return part.mayHaveArrived; });
-    giveFailure({hasSent ? Execution::MayHaveRun : Execution::NotRun, reason});
-}
-
-void RequestExchange::finish(milliseconds patience)
-{
-    m_isFinished = true;
-    m_timer.cancel();
-    for (const Part &part : m_parts) {
-        if (part.isWaiting)
-            m_state.directory.dropWaiting(part.service, m_forwarded);
-        for (const Copy &copy : part.copies)
-            if (copy.isOpen)
-                copy.target->channels.abandon(copy.call, patience);
-    }
-    m_finished(shared_from_this());
-}
-
 void RequestExchange::armTimer()
 {
     const Clock::time_point next = m_machine->nextEvent();
