--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -73,18 +73,18 @@
 
 
 class Store:
-    """The platform's store: items, paged listings and watches. `page` items a page, 4 ms an answer."""
+    """The platform's store: items, paged listings and watches. An answer takes `answer_s`."""
 
     PAGE = 50
-    ANSWER_S = 0.004
+    USUAL_ANSWER_S = 0.004
 
     def __init__(self, lab):
         self.lab, self.ip = lab, lab.addresses.next()
         self.revision, self.items, self.history = 100, {}, []
         self.changed = asyncio.Event()
-        self.watches = {}  # writer -> whether its answer is lost
-        self.lost = set()  # connections on which an answer was lost: they return nothing further
-        self.reads = 0
+        self.oldest = 0  # the history after this revision is kept
+        self.answer_s = self.USUAL_ANSWER_S
+        self.watches = set()  # the connections whose watch is waiting
 
     async def open(self):
         self.server = await asyncio.start_server(self.serve, self.ip, STORE_PORT)
@@ -107,9 +107,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def discard_history(self):
+        """A watch after an earlier revision gets 410 from now on."""
+        self.history, self.oldest = [], self.revision
+
     def cut_watches(self):
         """Cuts every watch that is waiting."""
         cut = list(self.watches)
+        self.watches.clear()
         for writer in cut:
             writer.close()
         return len(cut)
@@ -118,18 +123,13 @@
         try:
             while True:
                 line, _, _ = await read_message(reader)
-                self.reads += 1
                 path, _, query = line.split(" ")[1].partition("?")
                 query = dict(pair.partition("=")[::2] for pair in query.split("&"))
                 body = await (self.watch(writer, query) if path == "/api/kv-watch"
                               else self.range(query))
-                if body is None or writer in self.lost:
-                    self.lost.add(writer)
-                    self.lab.note("store", "loses an answer; the connection returns nothing further")
-                    await reader.read()
-                    return
-                writer.write(message("HTTP/1.1 200 OK", {"Content-Type": "application/json"},
-                                     json.dumps(body).encode()))
+                first = "HTTP/1.1 410 Gone" if body is None else "HTTP/1.1 200 OK"
+                writer.write(message(first, {"Content-Type": "application/json"},
+                                     json.dumps(body or {}).encode()))
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -140,14 +140,17 @@
         keys = [key for key in sorted(self.items) if key > after]
         body = {"items": [self.items[key] for key in keys[:self.PAGE]],
                 "truncated": len(keys) > self.PAGE, "current_rev": self.revision}
-        await asyncio.sleep(self.ANSWER_S)
+        await asyncio.sleep(self.answer_s)
         return body
 
     async def watch(self, writer, query):
         after, until = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
-        self.watches[writer] = True
+        self.watches.add(writer)
         try:
             while True:
+                if after < self.oldest:
+                    await asyncio.sleep(self.answer_s)
+                    return None
                 events = [event for revision, event in self.history if revision > after]
                 left = until - time.monotonic()
                 if events or left <= 0:
@@ -157,12 +160,10 @@
                 except asyncio.TimeoutError:
                     pass
         finally:
-            self.watches.pop(writer, None)
+            self.watches.discard(writer)
         # The answer is of one moment; nothing may happen between the events and the revision.
         body = {"events": events, "current_rev": self.revision}
-        await asyncio.sleep(self.ANSWER_S)
-        if events and self.lab.loses_answer():
-            return None
+        await asyncio.sleep(self.answer_s)
         return body
 
 
@@ -173,16 +174,16 @@
         self.lab, self.id, self.service, self.work_s = lab, identity, service, work_s
         self.zone = zone
         self.ip, self.born, self.seq = lab.addresses.next(), int(time.time() * 1000), 1
-        self.ran = []
+        self.state, self.ran = "ready", []
 
     @property
     def address(self):
         return f"{self.ip}:{SERVER_PORT}"
 
-    def entry(self, state="ready"):
+    def entry(self):
         self.seq += 1
         return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-                "slots": 3, "state": state, "warmup_left_ms": 0, "seq": self.seq,
+                "slots": 3, "state": self.state, "warmup_left_ms": 0, "seq": self.seq,
                 "born": self.born}
 
     async def open(self):
@@ -261,7 +262,6 @@
         self.addresses = Addresses()
         self.store = Store(self)
         self.vms = [Vm(self, f"vm-{number + 1}", zone) for number, zone in enumerate(zones)]
-        self.loses_answer = lambda: False
 
     def now(self):
         return time.monotonic() - self.started_at
