--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,22 +23,6 @@
 SERVES_ON_S = 14.0
 
 
-async def client(lab, vm, number, stop):
-    """Sends safe requests, one after the other, on a kept connection."""
-    reader, writer = await asyncio.open_connection(vm.ip, labs.CALLER_PORT)
-    count = 0
-    while not stop.is_set():
-        count += 1
-        identity = f"{vm.name}-{number}-{count}"
-        writer.write(labs.message("GET /look/x HTTP/1.1",
-                                  {"Host": "shop.example", "X-Request-Id": identity,
-                                   "X-Deadline-Ms": "2000"}))
-        line, _, _ = await labs.read_message(reader)
-        lab.note("client", f"{identity}: {line}")
-        await asyncio.sleep(0.04)
-    writer.close()
-
-
 def report(lab, server):
     lab.store.put(f"servers/{server.id}", server.entry())
     lab.note("store", f"{server.id} reports {server.state}")
@@ -56,7 +40,7 @@
         3, [labs.route("look", service="lookup")], ["lookup"]))
     await lab.start_vms()
     stop = asyncio.Event()
-    clients = [asyncio.create_task(client(lab, vm, number, stop))
+    clients = [asyncio.create_task(labs.send_safe_requests(lab, vm, number, stop))
                for vm in lab.vms for number in range(2)]
     await asyncio.sleep(7)
     servers[0].state = "draining"
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -182,8 +182,8 @@
 
     def entry(self):
         self.seq += 1
-        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-                "slots": 3, "state": self.state, "warmup_left_ms": 0, "seq": self.seq,
+        return {"service": self.service, "address": self.address, "zone": self.zone,
+                "version": "v1", "slots": 3, "state": self.state, "warmup_left_ms": 0, "seq": self.seq,
                 "born": self.born}
 
     async def open(self):
@@ -212,7 +212,7 @@
 
 
 class Vm:
-    """An entry VM: settings as platform/settings.json.tmpl gives them, the deploy file's command."""
+    """An entry VM: the deploy file's command, settings as platform/settings.json.tmpl has them."""
 
     def __init__(self, lab, name, zone):
         self.lab, self.name, self.zone, self.ip = lab, name, zone, lab.addresses.next()
@@ -302,6 +302,22 @@
         (None if os.environ.get("KEEP") else shutil.rmtree(self.folder, ignore_errors=True))
 
 
+async def send_safe_requests(lab, vm, number, stop):
+    """A client: sends safe requests to a VM, one after the other, on one kept connection."""
+    reader, writer = await asyncio.open_connection(vm.ip, CALLER_PORT)
+    count = 0
+    while not stop.is_set():
+        count += 1
+        identity = f"{vm.name}-{number}-{count}"
+        writer.write(message("GET /look/x HTTP/1.1",
+                             {"Host": "shop.example", "X-Request-Id": identity,
+                              "X-Deadline-Ms": "2000"}))
+        line, _, _ = await read_message(reader)
+        lab.note("client", f"{identity}: {line}")
+        await asyncio.sleep(0.04)
+    writer.close()
+
+
 def route(name, kind="safe", timeout_ms=2000, **destination):
     return {"name": name, "host": "shop.example", "prefix": f"/{name}/", "kind": kind,
             "timeout_ms": timeout_ms, "target_latency_ms": 600, "priority": 1, "max_attempts": 2,
@@ -320,12 +336,16 @@
     """Runs `case(lab)`, which returns whether the rule held, and exits with 0, 1 or 2."""
     async def main():
         lab = Lab(record, zones or SMALL_SITE)
+        whole = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, whole.cancel)
         try:
             await lab.store.open()
             held = await asyncio.wait_for(case(lab), limit_s)
             lab.note("verdict", "the rule held" if held else "the rule was broken")
             return 0 if held else 1
-        except (CouldNotRun, OSError, asyncio.TimeoutError) as error:
+        except (CouldNotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError,
+                asyncio.IncompleteReadError) as error:
             lab.note("verdict", f"the case could not run: {error!r}")
             return 2
         finally:
