--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -84,6 +84,7 @@
         self.changed = asyncio.Event()
         self.oldest = 0  # the history after this revision is kept
         self.answer_s = self.USUAL_ANSWER_S
+        self.is_down = False  # a read that comes meanwhile is never answered
         self.watches = set()  # the connections whose watch is waiting
 
     async def open(self):
@@ -123,6 +124,9 @@
         try:
             while True:
                 line, _, _ = await read_message(reader)
+                if self.is_down:
+                    await reader.read()  # until the VM closes the connection
+                    return
                 path, _, query = line.split(" ")[1].partition("?")
                 query = dict(pair.partition("=")[::2] for pair in query.split("&"))
                 body = await (self.watch(writer, query) if path == "/api/kv-watch"
@@ -302,8 +306,11 @@
         (None if os.environ.get("KEEP") else shutil.rmtree(self.folder, ignore_errors=True))
 
 
-async def send_safe_requests(lab, vm, number, stop):
-    """A client: sends safe requests to a VM, one after the other, on one kept connection."""
+async def send_safe_requests(lab, vm, number, stop, on_answer=None):
+    """A client: sends safe requests to a VM, one after the other, on one kept connection.
+
+    `on_answer` gets the VM, the time of sending, and the status line and body of each answer.
+    """
     reader, writer = await asyncio.open_connection(vm.ip, CALLER_PORT)
     count = 0
     while not stop.is_set():
@@ -312,8 +319,11 @@
         writer.write(message("GET /look/x HTTP/1.1",
                              {"Host": "shop.example", "X-Request-Id": identity,
                               "X-Deadline-Ms": "2000"}))
-        line, _, _ = await read_message(reader)
-        lab.note("client", f"{identity}: {line}")
+        sent_at = time.monotonic()
+        line, _, body = await read_message(reader)
+        lab.note("client", f"{identity}: {line} {body.decode()}")
+        if on_answer:
+            on_answer(vm, sent_at, line, body)
         await asyncio.sleep(0.04)
     writer.close()
 
