Move the decisions on fetching the state of the store into StateFollower

The registry duty decided between its sockets which source to fetch from, how long to wait and which revision its state has.

StateFollower holds them as a state machine without a clock: the duty performs the fetches that it returns and reports how they ended. Applying the targets that another VM sent moves into StoreView.

--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -16,11 +16,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t RingCapacity = 1024;
-/// How long one listing request may take: the store responds in 4 ms, and in about 200 ms when it
-/// is slow.
-constexpr milliseconds ListTimeout{1500};
-/// How much longer than its wait a watch request may take.
-constexpr milliseconds WatchSlack{700};
 /// How long removals are held back after an outage of the store. The platform promises that entries
 /// which expired during the outage are back within about two seconds if the target is alive.
 constexpr milliseconds RecoveryGrace{2300};
@@ -68,8 +63,8 @@
     , m_metrics(metrics)
     , m_duty("registry", RingCapacity)
     , m_connection(m_duty.io(), settings.storeAddress)
+    , m_follower(m_self, settings.seeds, settings.watchWait, Clock::now())
     , m_storeView(RecoveryGrace)
-    , m_picker(m_self, settings.seeds, Clock::now())
     , m_pool(m_self, settings.retryBudget, settings.assumedVms,
              {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onGrants})
     , m_pendingPulls(m_duty.io(), [this](const PendingStatePull &pull) { replyToPull(pull); })
@@ -115,7 +110,7 @@
         Overloaded{[this](StateRequest &request) { request.reply(stateJson()); },
                    [this](ControlFrame &each) { onFrame(each); },
                    [this](PeerLost &lost) {
-                       if (m_pendingSource == StoreSource(FromPeer{lost.vm}))
+                       if (m_follower.source() == StoreSource(FromPeer{lost.vm}))
                            onPeerFailure("lost");
                    },
                    [this](BudgetRequest &request) { m_pool.requestExtras(request, Clock::now()); },
@@ -152,50 +147,31 @@
 
 void RegistryDuty::fetchNext()
 {
-    const Clock::time_point now = Clock::now();
-    if (m_pendingSource)
-        return;
-    m_pendingSource = m_picker.pick(now);
-    if (!m_pendingSource) {
-        scheduleFetch(m_picker.retryAt(now));
+    const auto fetch = m_follower.next(Clock::now());
+    if (!fetch) {
+        const Clock::time_point at = m_follower.nextAt(Clock::now());
+        if (at == Clock::time_point::max())
+            return;
+        m_fetchTimer.expires_at(at);
+        m_fetchTimer.async_wait([this](const asio::error_code &error) {
+            if (!error)
+                fetchNext();
+        });
         return;
     }
     m_fetchTimer.cancel();
-    const StoreSource source = *m_pendingSource;
-    std::visit(Overloaded{[this](const FromStore &) { perform(m_follower.resume()); },
-                          [this](const FromPeer &peer) { fetchFromPeer(peer.vm); }},
-               source);
-}
-
-void RegistryDuty::scheduleFetch(Clock::time_point at)
-{
-    if (at == Clock::time_point::max())
-        return;
-    m_fetchTimer.expires_at(at);
-    m_fetchTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
-            fetchNext();
-    });
-}
-
-void RegistryDuty::perform(const StoreStep &step)
-{
-    const auto watchWait = m_picker.hasFollowers() ? FollowerWait : m_settings.watchWait;
-    std::visit(Overloaded{[this](const ReadPage &page) {
-                              if (page.afterKey.empty())
+    std::visit(Overloaded{[this](const ListStore &list) {
+                              if (list.afterKey.empty())
                                   m_listedTargets.clear();
-                              fetchFromStore(m_adapter.listingUri(page.afterKey), ListTimeout,
+                              fetchFromStore(m_adapter.listingUri(list.afterKey), list.timeout,
                                              true);
                           },
-                          [this, watchWait](const WatchChanges &watch) {
-                              fetchFromStore(m_adapter.watchUri(watch.revision, watchWait),
-                                             watchWait + WatchSlack, false);
+                          [this](const WatchStore &watch) {
+                              fetchFromStore(m_adapter.watchUri(watch.revision, watch.wait),
+                                             watch.timeout, false);
                           },
-                          [this](const WaitBeforeNext &wait) {
-                              m_pendingSource.reset();
-                              scheduleFetch(Clock::now() + wait.delay);
-                          }},
-               step);
+                          [this](const PullFromPeer &pull) { fetchFromPeer(pull); }},
+               *fetch);
 }
 
 void RegistryDuty::fetchFromStore(const std::string &uri, milliseconds timeout, bool isListing)
@@ -218,7 +194,8 @@
         m_sinks.onRead("history_gone", took);
         logEvent(LogLevel::Warning, "store_history_gone",
                  {{"revision", std::to_string(m_follower.revision())}});
-        perform(m_follower.onHistoryLost());
+        m_follower.onHistoryLost();
+        fetchNext();
         return;
     }
     if (result->status != httpstatus::Ok
@@ -235,36 +212,27 @@
         return;
     }
     m_sinks.onRead("ok", took);
-    m_picker.onSourceSucceeded(FromStore{}, Clock::now());
     setLastSource(FromStore{});
     m_storeView.onStoreContact(Clock::now());
-    if (isListing) {
+    if (isListing)
         onPage(*response);
-        return;
-    }
-    const StoreStep step = m_follower.onChanges(response->revision, !response->entries.empty());
-    checkForRecovery();
-    for (const StoreEntry &entry : response->entries)
-        applyEntry(entry, response->revision);
-    replyToPulls();
-    continueWith(step);
+    else
+        onChanges(*response);
+    fetchNext();
 }
 
-/// Performs a step, unless it is a watch: the source of the next fetch is then picked anew.
-void RegistryDuty::continueWith(const StoreStep &step)
+void RegistryDuty::onChanges(const StoreResponse &response)
 {
-    if (!std::holds_alternative<WatchChanges>(step)) {
-        perform(step);
-        return;
-    }
-    m_pendingSource.reset();
-    fetchNext();
+    m_follower.onChanges(response.revision, !response.entries.empty(), Clock::now());
+    checkForRecovery();
+    for (const StoreEntry &entry : response.entries)
+        applyEntry(entry, response.revision);
+    replyToPulls();
 }
 
 void RegistryDuty::onPage(const StoreResponse &response)
 {
-    const StoreStep step =
-        m_follower.onPage(response.revision, !response.isTruncated, response.lastKey);
+    m_follower.onPage(response.revision, !response.isTruncated, response.lastKey, Clock::now());
     checkForRecovery();
     for (const StoreEntry &entry : response.entries) {
         if (const auto *target = std::get_if<RegisteredTarget>(&entry.value))
@@ -272,21 +240,18 @@
         else
             applyEntry(entry, m_follower.revision());
     }
-    if (!m_follower.isListing()) {
-        replaceTargets(m_listedTargets, m_follower.revision());
-        m_listedTargets.clear();
-    }
-    continueWith(step);
+    if (m_follower.isListing())
+        return;
+    const bool isFirst = !m_storeView.hasState();
+    publish(m_storeView.replaceAll(std::exchange(m_listedTargets, {}), m_follower.revision(),
+                                   Clock::now()));
+    onTargetsUpdated(isFirst);
 }
 
-void RegistryDuty::replaceTargets(const std::vector<RegisteredTarget> &targets,
-                                  std::uint64_t revision)
+void RegistryDuty::onTargetsUpdated(bool isFirst)
 {
-    const bool isFirst = !m_storeView.hasState();
-    publish(m_storeView.replaceAll(targets, revision, Clock::now()));
     armExpiry();
     if (isFirst) {
-        m_picker.setHasState();
         m_sinks.onInitialListing();
         if (m_members)
             m_members->startServing();
@@ -296,7 +261,7 @@
 
 void RegistryDuty::checkForRecovery()
 {
-    if (!m_follower.takeRecovered())
+    if (!m_follower.takeStoreRecovered())
         return;
     const Clock::time_point now = Clock::now();
     m_storeView.onStoreRecovered(now);
@@ -313,12 +278,7 @@
         logEvent(LogLevel::Warning, "store_lost",
                  {{"why", why}, {"revision", std::to_string(m_follower.revision())}});
     }
-    const StoreStep step = m_follower.onFailure();
-    // Watchers check first whether the store is back; the other VMs receive the state from them.
-    const milliseconds delay = std::get<WaitBeforeNext>(step).delay;
-    m_picker.onSourceFailed(FromStore{},
-                            now + (m_picker.isWatcher() ? delay : std::max(delay, PeerBackoff)));
-    m_pendingSource.reset();
+    m_follower.onStoreFailure(now);
     fetchNext();
 }
 
@@ -327,7 +287,7 @@
     std::visit(
         Overloaded{
             [&](const RoutingDocument &document) {
-                applyConfiguration(document, entry.configuration, revision);
+                applyConfiguration(document, entry.configuration, revision, FromStore{});
             },
             [&](const RegisteredTarget &target) { publish(m_storeView.put(target, revision)); },
             [&](const UnreadableEntry &unreadable) {
@@ -345,14 +305,14 @@
 }
 
 void RegistryDuty::applyConfiguration(const RoutingDocument &document, const std::string &bytes,
-                                      std::uint64_t revision)
+                                      std::uint64_t revision, const StoreSource &source)
 {
     if (!m_storeView.adopt(document, bytes, revision))
         return;
     logEvent(LogLevel::Info, "configuration_adopted",
              {{"version", std::to_string(document.version)},
               {"routes", std::to_string(document.routes.size())},
-              {"source", m_pendingSource ? toString(*m_pendingSource) : "store"}});
+              {"source", toString(source)}});
     m_sinks.onRouting(m_storeView.routing());
 }
 
@@ -364,7 +324,7 @@
     logEvent(LogLevel::Info, "state_source",
              {{"source", toString(source)},
               {"revision", std::to_string(m_follower.revision())},
-              {"watcher", m_picker.isWatcher() ? "true" : "false"}});
+              {"watcher", m_follower.isWatcher() ? "true" : "false"}});
 }
 
 void RegistryDuty::publish(std::vector<RegistryChange> changes)
@@ -391,7 +351,7 @@
     state["revision"] = m_follower.revision();
     state["store_away"] = m_follower.isStoreUnavailable();
     state["source"] = m_lastSource ? toString(*m_lastSource) : "";
-    state["watcher"] = m_picker.isWatcher();
+    state["watcher"] = m_follower.isWatcher();
     state["heard_ms_ago"] = wholeMilliseconds(Clock::now() - m_storeView.lastContact()).count();
     state["peers_waiting"] = m_pendingPulls.size();
     if (m_members)
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -21,8 +21,7 @@
 #include "entry/storeconnection.h"
 #include "entry/storeview.h"
 #include "entry/wireadapter.h"
-#include "mangoshift/sourcepicker.h"
-#include "mangoshift/storefollower.h"
+#include "mangoshift/statefollower.h"
 
 namespace mangoshift {
 
@@ -48,7 +47,7 @@
 };
 
 /// The duty that follows the state of the store: the configuration in force and the targets. It
-/// fetches the state from the store or from another VM, as `SourcePicker` decides, and replies to
+/// fetches the state from the store or from another VM, as `StateFollower` decides, and replies to
 /// the state pulls of other VMs.
 ///
 /// A configuration is put in force only if its version is greater than that of the last, whichever
@@ -71,41 +70,35 @@
 private:
     using Timer = asio::basic_waitable_timer<Clock>;
 
-    /// How long a state pull waits for a change, and a watch of the store if other VMs follow this
-    /// one. A source that no longer responds is noticed within this time plus `PeerReplySlack` or
-    /// `WatchSlack`.
-    static constexpr std::chrono::milliseconds FollowerWait{1000};
-    /// How long a peer is not picked as the source after it failed to reply or its state was stale:
-    /// as long as a process takes to restart. Also the shortest such time for the store on a VM
-    /// that is not a watcher.
-    static constexpr std::chrono::milliseconds PeerBackoff{2000};
-
     void handle(RegistryMessage &message);
     void onFrame(ControlFrame &message);
     void onView(MemberViewPtr view);
     void armMemberTick();
 
-    /// Starts a fetch from the source that `SourcePicker` picks, unless one is in flight.
+    /// Starts the next fetch, or arranges to be called when it is due.
     void fetchNext();
-    /// Calls `fetchNext` at `at`; never if that is `time_point::max()`.
-    void scheduleFetch(Clock::time_point at);
-    void perform(const StoreStep &step);
     void fetchFromStore(const std::string &uri, std::chrono::milliseconds timeout, bool isListing);
     void onResult(const StoreConnection::Result &result, bool isListing);
-    void continueWith(const StoreStep &step);
+    void onChanges(const StoreResponse &response);
     void onPage(const StoreResponse &response);
-    void replaceTargets(const std::vector<RegisteredTarget> &targets, std::uint64_t revision);
+    /// Called after a listing or the state of another VM was applied; `isFirst` if it was the
+    /// first.
+    void onTargetsUpdated(bool isFirst);
     void checkForRecovery();
     void onStoreFailure(const std::string &why);
 
-    void fetchFromPeer(const VmId &vm);
+    void fetchFromPeer(const PullFromPeer &pull);
     void onPeerState(wire::StateReplyT &reply);
     void onPeerFailure(const char *why);
-    void applyPeerState(const PeerState &state);
+    void applyPeerState(const PeerState &state, const StoreSource &source);
+    /// Records the end of a pull; `failure` is null if the state was fresh.
+    void endPull(const StoreSource &source, const char *failure);
+    /// Returns whether a pull is in flight.
+    bool isPulling() const;
 
     void applyEntry(const StoreEntry &entry, std::uint64_t revision);
     void applyConfiguration(const RoutingDocument &document, const std::string &bytes,
-                            std::uint64_t revision);
+                            std::uint64_t revision, const StoreSource &source);
     /// Records the source that state was last received from, and logs when it changes.
     void setLastSource(const StoreSource &source);
     void publish(std::vector<RegistryChange> changes);
@@ -122,9 +115,8 @@
     Metrics &m_metrics;
     Duty<RegistryMessage> m_duty;
     StoreConnection m_connection;
-    StoreFollower m_follower;
+    StateFollower m_follower;
     StoreView m_storeView;
-    SourcePicker m_picker;
     /// Null if the settings contain no peer address.
     std::unique_ptr<MemberExchange> m_members;
     PoolAccess m_pool;
@@ -134,8 +126,6 @@
     Timer m_pullTimer;
     Timer m_expiryTimer;
     std::vector<RegisteredTarget> m_listedTargets;
-    /// The source of the fetch in flight; no value if there is none.
-    std::optional<StoreSource> m_pendingSource;
     std::optional<StoreSource> m_lastSource;
     std::uint64_t m_pullSequence = 0;
     Clock::time_point m_fetchStartedAt{};
--- a/src/entry/storeview.cpp
+++ b/src/entry/storeview.cpp
@@ -1,6 +1,7 @@
 #include "entry/storeview.h"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -59,6 +60,24 @@
     return changes;
 }
 
+std::vector<RegistryChange> StoreView::apply(const PeerState &state, Clock::time_point now)
+{
+    onStoreContact(now - state.age);
+    if (state.removalsHeldFor.count() > 0)
+        m_registry.holdRemovals(now + state.removalsHeldFor);
+    if (state.isComplete)
+        return replaceAll(state.targets, state.revision, now);
+    std::vector<RegistryChange> changes;
+    const auto append = [&changes](std::vector<RegistryChange> further) {
+        std::move(further.begin(), further.end(), std::back_inserter(changes));
+    };
+    for (const RegisteredTarget &target : state.targets)
+        append(put(target, state.revision));
+    for (const TargetId &id : state.removed)
+        append(remove(id, state.revision, now));
+    return changes;
+}
+
 std::vector<RegistryChange> StoreView::expire(std::uint64_t revision, Clock::time_point now)
 {
     return recordChanges(m_registry.expire(now), revision);
--- a/src/entry/storeview.h
+++ b/src/entry/storeview.h
@@ -34,6 +34,8 @@
     /// Replaces the list of targets. `hasState` returns true from the first call on.
     std::vector<RegistryChange> replaceAll(const std::vector<RegisteredTarget> &targets,
                                            std::uint64_t revision, Clock::time_point now);
+    /// Applies the targets that another VM has sent.
+    std::vector<RegistryChange> apply(const PeerState &state, Clock::time_point now);
     /// Carries out the held removals that are due.
     std::vector<RegistryChange> expire(std::uint64_t revision, Clock::time_point now);
     /// Returns when `expire` must be called next; no value if no removal is held.
@@ -51,6 +53,7 @@
     bool hasState() const { return m_hasState; }
     Clock::time_point lastContact() const { return m_lastContact; }
     const RoutingTablePtr &routing() const { return m_routing; }
+    const TargetRegistry &registry() const { return m_registry; }
     /// Returns the state for a VM that knows it up to revision `after`: the changes since, or the
     /// whole state if those are no longer known. `revision` is the revision of this view.
     PeerState stateAfter(std::uint64_t after, std::uint64_t revision, Clock::time_point now) const;
