Stop on SIGTERM even if other events are handled in the same turn

Cause: the handler of SIGTERM cancelled the other waits of the loop. A handler that is queued already is not cancelled: it ran after that of SIGTERM, saw no error and waited anew, so the loop never ended. Evidence: the new test raises both signals before the loop runs, which queues both handlers; it hung before the change. Ruled out: a lost signal, a reload that blocks.

Change: SIGTERM stops the loop itself. The same line of thought in the timer of a pull between VMs: its queued time out failed the next pull; it now checks which pull it was armed for.

--- a/src/app/processsignals.cpp
+++ b/src/app/processsignals.cpp
@@ -33,10 +33,9 @@
 {
     waitForReloadSignal();
     scheduleFileCheck();
-    m_stopSignals.async_wait([this](const asio::error_code &, int) {
-        m_reloadSignals.cancel();
-        m_fileTimer.cancel();
-    });
+    // Stops the loop itself: cancelling the other waits would miss a handler that is queued
+    // already, which would then wait again.
+    m_stopSignals.async_wait([this](const asio::error_code &, int) { m_io.stop(); });
     m_io.run();
 }
 
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -53,8 +53,9 @@
     request.after_revision = pull.revision;
     request.wait_ms = static_cast<std::uint32_t>(pull.wait.count());
     m_pullTimer.expires_after(pull.timeout);
-    m_pullTimer.async_wait([this](const asio::error_code &error) {
-        if (!error)
+    // The sequence is checked because a handler that is queued already cannot be cancelled.
+    m_pullTimer.async_wait([this, sequence = m_pullSequence](const asio::error_code &error) {
+        if (!error && sequence == m_pullSequence)
             onPeerFailure("timeout");
     });
     m_sinks.sendToVm(pull.vm, makeFrame(request));
