Take the revision of a listing only when all of its pages are applied

Cause: a VM that lists the store in pages took the revision of the first page at once and applied the targets after the last one. Pulls of other VMs in between were answered with the new revision and without the changes up to it, which those VMs then never requested again. Ruled out: the change log, the age check.

Change: the revision of a listing takes effect with its last page. Entries that are applied page by page (the configuration) are recorded under the listing's revision.

Test: 'No change is lost to a VM ...' and 'A follower of the store' failed before, pass now.

--- a/include/mangoshift/statefollower.h
+++ b/include/mangoshift/statefollower.h
@@ -100,6 +100,9 @@
     bool hasState() const { return m_hasState; }
     /// Returns the revision up to which this VM's state is complete.
     std::uint64_t revision() const { return m_store.revision(); }
+    /// Returns the revision at which the latest listing of the store began. What a page contains
+    /// changed at this revision or earlier, or is received again later.
+    std::uint64_t listingRevision() const { return m_store.listingRevision(); }
     bool isListing() const { return m_store.isListing(); }
     /// Returns the source of the fetch in flight; no value if there is none.
     const std::optional<StoreSource> &source() const { return m_source; }
--- a/include/mangoshift/storefollower.h
+++ b/include/mangoshift/storefollower.h
@@ -58,8 +58,11 @@
     bool isListing() const { return m_isListing; }
     /// Returns whether the last request failed.
     bool isStoreUnavailable() const { return m_consecutiveFailures > 0; }
-    /// Returns the revision up to which changes have been received.
+    /// Returns the revision up to which all changes have been received. During a listing it stays
+    /// that of before.
     std::uint64_t revision() const { return m_revision; }
+    /// Returns the revision at which the latest listing began.
+    std::uint64_t listingRevision() const { return m_listingRevision; }
 
 private:
     StoreStep next() const;
@@ -68,6 +71,7 @@
     bool m_isListing = true;
     std::string m_afterKey;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_listingRevision = 0;
     std::uint32_t m_consecutiveFailures = 0;
     bool m_hasRecovered = false;
 };
--- a/src/core/storefollower.cpp
+++ b/src/core/storefollower.cpp
@@ -43,9 +43,10 @@
     recordSuccess();
     // The pages are not one consistent snapshot: changes since the first page must be read again.
     if (m_afterKey.empty())
-        m_revision = revision;
+        m_listingRevision = revision;
     m_afterKey = lastKey;
     if (isLast) {
+        m_revision = m_listingRevision;
         m_isListing = false;
         m_afterKey.clear();
     }
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -238,7 +238,7 @@
         if (const auto *target = std::get_if<RegisteredTarget>(&entry.value))
             m_listedTargets.push_back(*target);
         else
-            applyEntry(entry, m_follower.revision());
+            applyEntry(entry, m_follower.listingRevision());
     }
     if (m_follower.isListing())
         return;
--- a/test/unit/followingfleet.h
+++ b/test/unit/followingfleet.h
@@ -397,7 +397,8 @@
         if (vm.follower.takeStoreRecovered())
             vm.view.onStoreRecovered(now);
         vm.view.onStoreContact(now);
-        const std::uint64_t revision = isListing ? vm.follower.revision() : response.revision;
+        const std::uint64_t revision =
+            isListing ? vm.follower.listingRevision() : response.revision;
         if (response.version != 0)
             adopt(vm, response.version, revision);
         for (const SimulatedStore::Entry &entry : response.targets) {
--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -117,3 +117,22 @@
         CHECK(deployment.runAndCheck(10s) == "");
     }
 }
+
+// Guards against a VM that answers others with the revision of a listing whose pages it has not
+// applied yet: the changes up to that revision would be lost to them for good.
+TEST_CASE("No change is lost to a VM while the VM that it follows lists the store in pages")
+{
+    for (const auto &shape : Shapes) {
+        Deployment deployment(1, shape);
+        deployment.store.put(targetOf(7, true));
+        deployment.run(200ms);
+        deployment.store.put(targetOf(8, true));
+        deployment.run(100ms);
+        deployment.store.discardHistory();
+        deployment.store.setLatency(200ms);
+        deployment.calmFrom = deployment.simulation.now() + 3s;
+        CHECK(deployment.runAndCheck(3s) == "");
+        deployment.store.setLatency(5ms);
+        CHECK(deployment.runAndCheck(10s) == "");
+    }
+}
--- a/test/unit/storefollower_test.cpp
+++ b/test/unit/storefollower_test.cpp
@@ -28,6 +28,24 @@
         CHECK(textOf(follower.onPage(10, false, "k/5")) == "page after 'k/5'");
         CHECK(textOf(follower.onPage(14, true, "k/9")) == "watch from 10");
     }
+    SECTION("has the revision of a listing only when its last page has been read")
+    {
+        follower.onPage(10, true, "k/9");
+        follower.onHistoryLost();
+        follower.onPage(40, false, "k/5");
+        CHECK(follower.revision() == 10);
+        CHECK(follower.listingRevision() == 40);
+        SECTION("and not if the listing fails")
+        {
+            follower.onFailure();
+            CHECK(follower.revision() == 10);
+        }
+        SECTION("and then all of it")
+        {
+            follower.onPage(44, true, "k/9");
+            CHECK(follower.revision() == 40);
+        }
+    }
     GIVEN("a complete listing")
     {
         follower.onPage(10, true, "k/9");
