Send the whole state to a VM that is ahead of what a listing skipped

A VM kept a view that lacked a live target although its revision was later than the target's return.

Cause: a listing shows one moment. What came and went between a VM's earlier revision and that of its listing is not recorded in its change log, but the log claimed to cover it, so a VM whose revision lay in between was sent an incomplete difference. Ruled out: held removals, the order of reports.

Change: ChangeLog records such gaps, at most 16, and covers only revisions outside of them.

Test: the new section in storeview_test.cpp states what failed; the interface of replaceAll has changed, so it does not compile before.

--- a/include/mangoshift/changelog.h
+++ b/include/mangoshift/changelog.h
@@ -25,13 +25,16 @@
 
     /// Clears the log. Changes up to and including `revision` are no longer covered.
     void resetTo(std::uint64_t revision);
+    /// Records that the state was replaced as a whole: what came and went after `from` and before
+    /// `to` is not known.
+    void onGap(std::uint64_t from, std::uint64_t to);
     /// Records that a target was listed, changed or removed at `revision`.
     void onTargetChange(const TargetId &id, std::uint64_t revision);
     /// Records that the configuration changed at `revision`.
     void onConfigurationChange(std::uint64_t revision) { m_configurationRevision = revision; }
 
     /// Returns whether the log holds every change after `revision`.
-    bool covers(std::uint64_t revision) const { return revision >= m_coveredAfter; }
+    bool covers(std::uint64_t revision) const;
     /// Returns the targets that changed after `revision`, each once.
     std::vector<TargetId> targetsChangedAfter(std::uint64_t revision) const;
     /// Returns whether the configuration changed after `revision`.
@@ -41,11 +44,20 @@
     }
 
 private:
+    /// The revisions between `from` and `to`, without these two, are not covered.
+    struct Gap
+    {
+        std::uint64_t from;
+        std::uint64_t to;
+    };
+
     std::size_t m_limit;
     std::map<TargetId, std::uint64_t> m_targetRevisions;
     std::uint64_t m_configurationRevision = 0;
     /// The log holds every change after this revision, and may lack changes up to and including it.
     std::uint64_t m_coveredAfter = std::numeric_limits<std::uint64_t>::max();
+    /// In the order of their revisions.
+    std::vector<Gap> m_gaps;
 };
 
 } // namespace mangoshift
--- a/src/core/changelog.cpp
+++ b/src/core/changelog.cpp
@@ -4,6 +4,13 @@
 
 namespace mangoshift {
 
+namespace {
+
+/// More gaps than a VM has while another one still needs the changes from before them.
+constexpr std::size_t MaxGaps = 16;
+
+} // namespace
+
 ChangeLog::ChangeLog(std::size_t limit)
     : m_limit(limit)
 {
@@ -14,6 +21,27 @@
     m_targetRevisions.clear();
     m_configurationRevision = 0;
     m_coveredAfter = revision;
+    m_gaps.clear();
+}
+
+void ChangeLog::onGap(std::uint64_t from, std::uint64_t to)
+{
+    // Without a revision in between, every VM is at one of the two and lacks nothing.
+    if (to <= from + 1)
+        return;
+    m_gaps.push_back({from, to});
+    if (m_gaps.size() <= MaxGaps)
+        return;
+    m_coveredAfter = std::max(m_coveredAfter, m_gaps.front().to);
+    m_gaps.erase(m_gaps.begin());
+}
+
+bool ChangeLog::covers(std::uint64_t revision) const
+{
+    return revision >= m_coveredAfter
+        && std::none_of(m_gaps.begin(), m_gaps.end(), [revision](const Gap &gap) {
+               return gap.from < revision && revision < gap.to;
+           });
 }
 
 void ChangeLog::onTargetChange(const TargetId &id, std::uint64_t revision)
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -232,6 +232,7 @@
 
 void RegistryDuty::onPage(const StoreResponse &response)
 {
+    const std::uint64_t before = m_follower.revision();
     m_follower.onPage(response.revision, !response.isTruncated, response.lastKey, Clock::now());
     checkForRecovery();
     for (const StoreEntry &entry : response.entries) {
@@ -243,8 +244,8 @@
     if (m_follower.isListing())
         return;
     const bool isFirst = !m_storeView.hasState();
-    publish(m_storeView.replaceAll(std::exchange(m_listedTargets, {}), m_follower.revision(),
-                                   Clock::now()));
+    publish(m_storeView.replaceAll(std::exchange(m_listedTargets, {}), before,
+                                   m_follower.revision(), Clock::now()));
     onTargetsUpdated(isFirst);
 }
 
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -90,7 +90,7 @@
     void fetchFromPeer(const PullFromPeer &pull);
     void onPeerState(wire::StateReplyT &reply);
     void onPeerFailure(const char *why);
-    void applyPeerState(const PeerState &state, const StoreSource &source);
+    void applyPeerState(const PeerState &state, std::uint64_t before, const StoreSource &source);
     /// Records the end of a pull; `failure` is null if the state was fresh.
     void endPull(const StoreSource &source, const char *failure);
     /// Returns whether a pull is in flight.
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -82,9 +82,10 @@
     const PeerState state = fromWire(reply);
     const StoreSource source = *m_follower.source();
     const Clock::time_point now = Clock::now();
+    const std::uint64_t before = m_follower.revision();
     const PeerStateUse use = m_follower.onPeerState(state.revision, now - state.age, now);
     if (use.shouldApply)
-        applyPeerState(state, source);
+        applyPeerState(state, before, source);
     if (use.isFresh) {
         endPull(source, nullptr);
         setLastSource(source);
@@ -107,7 +108,8 @@
                  {{"peer", toString(source)}, {"why", failure}});
 }
 
-void RegistryDuty::applyPeerState(const PeerState &state, const StoreSource &source)
+void RegistryDuty::applyPeerState(const PeerState &state, std::uint64_t before,
+                                  const StoreSource &source)
 {
     if (!state.configuration.empty()) {
         const auto document = m_adapter.parseConfiguration(state.configuration);
@@ -118,7 +120,7 @@
                      {{"key", "configuration"}, {"why", document.error()}});
     }
     const bool isFirst = !m_storeView.hasState();
-    publish(m_storeView.apply(state, Clock::now()));
+    publish(m_storeView.apply(state, before, Clock::now()));
     onTargetsUpdated(isFirst);
 }
 
--- a/src/entry/storeview.cpp
+++ b/src/entry/storeview.cpp
@@ -48,10 +48,13 @@
 }
 
 std::vector<RegistryChange> StoreView::replaceAll(const std::vector<RegisteredTarget> &targets,
-                                                  std::uint64_t revision, Clock::time_point now)
+                                                  std::uint64_t before, std::uint64_t revision,
+                                                  Clock::time_point now)
 {
     if (!std::exchange(m_hasState, true))
         m_changes.resetTo(revision);
+    else
+        m_changes.onGap(before, revision);
     // Other VMs have received the held removals, so they must also receive the return of those
     // targets.
     recordHeldRemovals(revision);
@@ -60,13 +63,14 @@
     return changes;
 }
 
-std::vector<RegistryChange> StoreView::apply(const PeerState &state, Clock::time_point now)
+std::vector<RegistryChange> StoreView::apply(const PeerState &state, std::uint64_t before,
+                                             Clock::time_point now)
 {
     onStoreContact(now - state.age);
     if (state.removalsHeldFor.count() > 0)
         m_registry.holdRemovals(now + state.removalsHeldFor);
     if (state.isComplete)
-        return replaceAll(state.targets, state.revision, now);
+        return replaceAll(state.targets, before, state.revision, now);
     std::vector<RegistryChange> changes;
     const auto append = [&changes](std::vector<RegistryChange> further) {
         std::move(further.begin(), further.end(), std::back_inserter(changes));
--- a/src/entry/storeview.h
+++ b/src/entry/storeview.h
@@ -31,11 +31,15 @@
     std::vector<RegistryChange> put(const RegisteredTarget &target, std::uint64_t revision);
     std::vector<RegistryChange> remove(const TargetId &id, std::uint64_t revision,
                                        Clock::time_point now);
-    /// Replaces the list of targets. `hasState` returns true from the first call on.
+    /// Replaces the list of targets, which was complete up to revision `before`, by that of
+    /// `revision`. `hasState` returns true from the first call on.
     std::vector<RegistryChange> replaceAll(const std::vector<RegisteredTarget> &targets,
-                                           std::uint64_t revision, Clock::time_point now);
-    /// Applies the targets that another VM has sent.
-    std::vector<RegistryChange> apply(const PeerState &state, Clock::time_point now);
+                                           std::uint64_t before, std::uint64_t revision,
+                                           Clock::time_point now);
+    /// Applies the targets that another VM has sent to a view that was complete up to revision
+    /// `before`.
+    std::vector<RegistryChange> apply(const PeerState &state, std::uint64_t before,
+                                      Clock::time_point now);
     /// Carries out the held removals that are due.
     std::vector<RegistryChange> expire(std::uint64_t revision, Clock::time_point now);
     /// Returns when `expire` must be called next; no value if no removal is held.
--- a/test/unit/changelog_test.cpp
+++ b/test/unit/changelog_test.cpp
@@ -45,6 +45,23 @@
             CHECK(log.hasConfigurationChangedAfter(13));
             CHECK_FALSE(log.hasConfigurationChangedAfter(14));
         }
+        SECTION("revisions inside a gap are not covered, those at its ends are")
+        {
+            log.onGap(11, 14);
+            CHECK(log.covers(11));
+            CHECK_FALSE(log.covers(12));
+            CHECK_FALSE(log.covers(13));
+            CHECK(log.covers(14));
+            SECTION("and beyond a limit the oldest gaps end what is covered")
+            {
+                for (std::uint64_t from = 20; from < 1000; from += 10)
+                    log.onGap(from, from + 5);
+                CHECK_FALSE(log.covers(11));
+                CHECK_FALSE(log.covers(12));
+                CHECK_FALSE(log.covers(994));
+                CHECK(log.covers(995));
+            }
+        }
         SECTION("beyond the limit the oldest change is dropped and no longer covered")
         {
             log.onTargetChange("b", 11);
--- a/test/unit/followingfleet.h
+++ b/test/unit/followingfleet.h
@@ -389,6 +389,7 @@
     void apply(Vm &vm, const SimulatedStore::Response &response, bool isListing)
     {
         const Clock::time_point now = m_simulation.now();
+        const std::uint64_t before = vm.follower.revision();
         if (isListing)
             vm.follower.onPage(response.revision, response.isLast, response.lastKey, now);
         else
@@ -410,7 +411,7 @@
                 vm.view.put(entry.target, revision);
         }
         if (isListing && !vm.follower.isListing())
-            vm.view.replaceAll(vm.listed, revision, now);
+            vm.view.replaceAll(vm.listed, before, revision, now);
         onUpdated(vm);
     }
     static void adopt(Vm &vm, ConfigVersion version, std::uint64_t revision)
@@ -469,11 +470,12 @@
     {
         ++vm.fetch;
         const Clock::time_point now = m_simulation.now();
+        const std::uint64_t before = vm.follower.revision();
         const PeerStateUse use = vm.follower.onPeerState(state.revision, now - state.age, now);
         if (use.shouldApply) {
             if (!state.configuration.empty())
                 adopt(vm, std::stoull(state.configuration), state.revision);
-            vm.view.apply(state, now);
+            vm.view.apply(state, before, now);
             onUpdated(vm);
         }
         fetchNext(vm);
--- a/test/unit/storeview_test.cpp
+++ b/test/unit/storeview_test.cpp
@@ -47,7 +47,7 @@
 
     GIVEN("two targets and a configuration, read at revision 10")
     {
-        view.replaceAll({targetOf("a"), targetOf("b")}, 10, Start);
+        view.replaceAll({targetOf("a"), targetOf("b")}, 0, 10, Start);
         RoutingDocument document;
         document.version = 3;
         REQUIRE(view.adopt(document, "bytes", 10));
@@ -73,6 +73,17 @@
             CHECK(state.removed == std::vector<TargetId>{"a"});
             CHECK(state.configuration.empty());
         }
+        SECTION("a VM that has seen changes which a new listing skips is sent the whole state")
+        {
+            view.replaceAll({targetOf("a", 2), targetOf("b")}, 10, 14, Start);
+            CHECK_FALSE(view.stateAfter(10, 14, Start).isComplete);
+            for (const std::uint64_t after : {11, 13}) {
+                const PeerState state = view.stateAfter(after, 14, Start);
+                CHECK(state.isComplete);
+                CHECK(idsOf(state) == std::vector<std::string>{"a", "b"});
+            }
+            CHECK_FALSE(view.stateAfter(14, 14, Start).isComplete);
+        }
         SECTION("a configuration of the same version is not put in force again")
         {
             document.version = 3;
@@ -94,7 +105,7 @@
             }
             SECTION("and its return in a listing is sent")
             {
-                view.replaceAll({targetOf("a", 2), targetOf("b")}, 12, Start);
+                view.replaceAll({targetOf("a", 2), targetOf("b")}, 11, 12, Start);
                 const auto ids = idsOf(view.stateAfter(11, 12, Start));
                 CHECK(std::count(ids.begin(), ids.end(), "a") == 1);
             }
