Treat a cut watch of the store as a cut watch, not as an outage

Cause: a VM whose watch was cut asked another VM before the store, which all did at once, and left the store alone for 2 s after a state that looked fresh; and the first response after any failure held removals back for 2.3 s, anew with each cut. Evidence: store_regained away_ms=3006 in the logs of the case, from a store that answered in 4 ms. Ruled out: the store's latency, the delay before a retry.

Change: a watcher tries the store a second time after 50 ms before it uses other VMs; it leaves the store alone only if another VM had contact with it after the failure; a pull does not outlast the time of the next attempt; removals are held only after 2.4 s without contact, the shortest outage in which an entry of a live target can expire. The test 'A watcher that has lost the store' demanded the earlier order; it is replaced by one that states the new order and when the store is left alone. 'Other VMs are sent the state' lets 2.4 s pass before it expects held removals.

--- a/include/mangoshift/sourcepicker.h
+++ b/include/mangoshift/sourcepicker.h
@@ -34,9 +34,11 @@
 /// In each failure domain the first few VMs by rendezvous hash watch the store, so that the store's
 /// load does not grow with the fleet. The other VMs send their requests to these watchers, and to
 /// the store only if no watcher replies with fresh state. A VM that gets fresh state
-/// neither there nor from the store uses the watchers of the other domains. A starting VM uses VMs
-/// that have already started, so that it can serve even while the store is unavailable. Reads no
-/// clock. Not thread safe.
+/// neither there nor from the store uses the watchers of the other domains. A watcher tries a store
+/// that has failed once more before it uses other VMs, because a watch may be cut while the store
+/// is sound, and leaves a failing store alone for longer only if it still serves other VMs. A
+/// starting VM uses VMs that have already started, so that it can serve even while the store is
+/// unavailable. Reads no clock. Not thread safe.
 class SourcePicker
 {
 public:
@@ -54,11 +56,17 @@
     /// end of the period in which a starting VM uses only other VMs. Returns the greatest time
     /// point if there is no source.
     Clock::time_point retryAt(Clock::time_point now) const;
-    /// Records that a source replied with fresh state.
-    void onSourceSucceeded(const StoreSource &source, Clock::time_point now);
+    /// Records that a source replied with fresh state. `contactAt` is when that source had its last
+    /// contact with the store; `now` if it is the store.
+    void onSourceSucceeded(const StoreSource &source, Clock::time_point contactAt,
+                           Clock::time_point now);
     /// Records that a source sent no reply, or a reply with stale state. The source is not used
     /// again before `retryAt`.
-    void onSourceFailed(const StoreSource &source, Clock::time_point retryAt);
+    void onSourceFailed(const StoreSource &source, Clock::time_point retryAt,
+                        Clock::time_point now);
+    /// Returns when a watcher whose store has failed is to try the store again; no value if the
+    /// store has not failed, or if this VM is not a watcher.
+    std::optional<Clock::time_point> storeRetryAt() const;
 
     /// Returns whether this VM is one of the watchers of its failure domain.
     bool isWatcher() const;
@@ -74,20 +82,25 @@
     std::vector<const Member *> rankedDomainMembers(const std::string &domain) const;
     std::vector<StoreSource> sources(Clock::time_point now) const;
     Clock::time_point avoidedUntil(const StoreSource &source) const;
+    /// Returns whether the source has failed since the last success.
+    bool hasFailed(const StoreSource &source) const;
+    /// Returns whether the store, which has failed once, is to be tried before any other VM.
+    bool isRecheckingStore() const;
 
     Member m_self;
     std::vector<std::string> m_seeds;
     Clock::time_point m_startedAt;
     bool m_hasState = false;
     MemberViewPtr m_members;
-    /// Returns whether the source has failed since the last success.
-    bool hasFailed(const StoreSource &source) const;
-
     /// The sources that have failed since the last success.
     std::vector<StoreSource> m_failedSources;
     /// Until when the store, and each peer that has failed, are not used.
     Clock::time_point m_storeAvoidedUntil{};
-    bool m_hasStoreFailed = false;
+    /// The number of consecutive failures of the store, and when the last one was.
+    std::uint32_t m_storeFailures = 0;
+    Clock::time_point m_storeFailedAt{};
+    /// Whether another VM had contact with the store after it failed this VM.
+    bool m_doesStoreServeOthers = false;
     std::map<VmId, Clock::time_point> m_peersAvoidedUntil;
 };
 
--- a/include/mangoshift/statefollower.h
+++ b/include/mangoshift/statefollower.h
@@ -110,7 +110,8 @@
     bool isWatcher() const { return m_picker.isWatcher(); }
 
 private:
-    StateFetch fetchFrom(const StoreSource &source);
+    StateFetch fetchFrom(const StoreSource &source, Clock::time_point now);
+    PullFromPeer pullFrom(const VmId &vm, Clock::time_point now) const;
     /// Performs a step of the store's follower after a response.
     void onStoreStep(const StoreStep &step, Clock::time_point now);
 
--- a/samples/sample8_sourcepicker.cpp
+++ b/samples/sample8_sourcepicker.cpp
@@ -45,10 +45,10 @@
     // A VM whose source fails uses the next source, and returns to the first one later.
     SourcePicker &first = pickers.front();
     const StoreSource lost = *first.pick(now);
-    first.onSourceFailed(lost, now + std::chrono::seconds(2));
+    first.onSourceFailed(lost, now + std::chrono::seconds(2), now);
     const StoreSource next = *first.pick(now);
     std::printf("a-0 has lost %s and reads from %s\n", nameOf(lost), nameOf(next));
-    first.onSourceSucceeded(next, now);
+    first.onSourceSucceeded(next, now, now);
     const bool returnsToFirst = *first.pick(now + std::chrono::seconds(2)) == lost;
     return watchers == 3 && returnsToFirst ? 0 : 1;
 }
--- a/src/core/sourcepicker.cpp
+++ b/src/core/sourcepicker.cpp
@@ -16,8 +16,8 @@
 /// How long a starting VM uses only other VMs as sources: the 0.3 s within which all VMs of a fleet
 /// start.
 constexpr std::chrono::milliseconds JoinDuration{300};
-/// How long a store that has failed is not used while a peer replies with fresh state. A request to
-/// the store that gets no reply delays updates from peers by more than a second.
+/// How long a store that fails this VM is not used while it serves others, from which this VM gets
+/// the state. A request to the store that gets no reply delays that by more than a second.
 constexpr std::chrono::milliseconds StoreAvoidance{2000};
 
 } // namespace
@@ -140,6 +140,8 @@
     // Every source is tried once before any is tried again. Otherwise, several sources that are
     // slow to fail would keep the last one from ever being tried.
     std::optional<StoreSource> fallback;
+    if (isRecheckingStore())
+        return now < m_storeAvoidedUntil ? std::nullopt : std::optional<StoreSource>(FromStore{});
     for (const StoreSource &source : sources(now)) {
         if (avoidedUntil(source) > now)
             continue;
@@ -151,6 +153,18 @@
     return fallback;
 }
 
+bool SourcePicker::isRecheckingStore() const
+{
+    return m_hasState && m_storeFailures == 1 && !m_doesStoreServeOthers && isWatcher();
+}
+
+std::optional<Clock::time_point> SourcePicker::storeRetryAt() const
+{
+    if (m_storeFailures == 0 || !isWatcher())
+        return std::nullopt;
+    return m_storeAvoidedUntil;
+}
+
 bool SourcePicker::hasFailed(const StoreSource &source) const
 {
     return std::find(m_failedSources.begin(), m_failedSources.end(), source)
@@ -159,27 +173,33 @@
 
 Clock::time_point SourcePicker::retryAt(Clock::time_point now) const
 {
+    if (isRecheckingStore())
+        return std::max(m_storeAvoidedUntil, now);
     Clock::time_point next = isJoining(now) ? m_startedAt + JoinDuration : Clock::time_point::max();
     for (const StoreSource &source : sources(now))
         next = std::min(next, std::max(avoidedUntil(source), now));
     return next;
 }
 
-void SourcePicker::onSourceSucceeded(const StoreSource &source, Clock::time_point now)
+void SourcePicker::onSourceSucceeded(const StoreSource &source, Clock::time_point contactAt,
+                                     Clock::time_point now)
 {
     m_failedSources.clear();
-    if (const auto *peer = std::get_if<FromPeer>(&source)) {
-        m_peersAvoidedUntil.erase(peer->vm);
-        if (m_hasStoreFailed)
-            m_storeAvoidedUntil = std::max(m_storeAvoidedUntil, now + StoreAvoidance);
-        m_hasStoreFailed = false;
-    } else {
+    const auto *peer = std::get_if<FromPeer>(&source);
+    if (peer == nullptr) {
         m_storeAvoidedUntil = {};
-        m_hasStoreFailed = false;
+        m_storeFailures = 0;
+        return;
     }
+    m_peersAvoidedUntil.erase(peer->vm);
+    // An earlier contact shows nothing: the store may have failed all VMs at the same moment.
+    if (m_storeFailures > 0 && contactAt > m_storeFailedAt
+        && !std::exchange(m_doesStoreServeOthers, true))
+        m_storeAvoidedUntil = std::max(m_storeAvoidedUntil, now + StoreAvoidance);
 }
 
-void SourcePicker::onSourceFailed(const StoreSource &source, Clock::time_point retryAt)
+void SourcePicker::onSourceFailed(const StoreSource &source, Clock::time_point retryAt,
+                                  Clock::time_point now)
 {
     if (!hasFailed(source))
         m_failedSources.push_back(source);
@@ -188,7 +208,9 @@
         return;
     }
     m_storeAvoidedUntil = retryAt;
-    m_hasStoreFailed = true;
+    m_storeFailedAt = now;
+    ++m_storeFailures;
+    m_doesStoreServeOthers = false;
 }
 
 } // namespace mangoshift
--- a/src/core/statefollower.cpp
+++ b/src/core/statefollower.cpp
@@ -37,13 +37,13 @@
 std::optional<StateFetch> StateFollower::next(Clock::time_point now)
 {
     if (std::exchange(m_continuesListing, false))
-        return fetchFrom(*m_source);
+        return fetchFrom(*m_source, now);
     if (m_source || now < m_nextAt)
         return std::nullopt;
     m_source = m_picker.pick(now);
     if (!m_source)
         return std::nullopt;
-    return fetchFrom(*m_source);
+    return fetchFrom(*m_source, now);
 }
 
 Clock::time_point StateFollower::nextAt(Clock::time_point now) const
@@ -55,11 +55,22 @@
     return std::max(m_nextAt, m_picker.retryAt(now));
 }
 
-StateFetch StateFollower::fetchFrom(const StoreSource &source)
+PullFromPeer StateFollower::pullFrom(const VmId &vm, Clock::time_point now) const
+{
+    if (!m_hasState)
+        return {vm, 0, FollowerWait, FirstReplyTimeout};
+    milliseconds wait = FollowerWait;
+    // A pull must not delay the next attempt to reach the store.
+    if (const auto retryAt = m_picker.storeRetryAt())
+        wait = std::clamp(std::chrono::duration_cast<milliseconds>(*retryAt - now), milliseconds(0),
+                          FollowerWait);
+    return {vm, revision(), wait, wait + PeerReplySlack};
+}
+
+StateFetch StateFollower::fetchFrom(const StoreSource &source, Clock::time_point now)
 {
     if (const auto *peer = std::get_if<FromPeer>(&source))
-        return PullFromPeer{peer->vm, m_hasState ? revision() : 0, FollowerWait,
-                            m_hasState ? FollowerWait + PeerReplySlack : FirstReplyTimeout};
+        return pullFrom(peer->vm, now);
     const StoreStep step = m_store.resume();
     if (const auto *page = std::get_if<ReadPage>(&step))
         return ListStore{page->afterKey, ListTimeout};
@@ -69,7 +80,7 @@
 
 void StateFollower::onStoreStep(const StoreStep &step, Clock::time_point now)
 {
-    m_picker.onSourceSucceeded(FromStore{}, now);
+    m_picker.onSourceSucceeded(FromStore{}, now, now);
     m_continuesListing = std::holds_alternative<ReadPage>(step);
     if (m_continuesListing)
         return;
@@ -102,8 +113,8 @@
     const StoreStep step = m_store.onFailure();
     // Watchers check first whether the store is back; the other VMs receive the state from them.
     const milliseconds delay = std::get<WaitBeforeNext>(step).delay;
-    m_picker.onSourceFailed(FromStore{},
-                            now + (m_picker.isWatcher() ? delay : std::max(delay, PeerBackoff)));
+    m_picker.onSourceFailed(
+        FromStore{}, now + (m_picker.isWatcher() ? delay : std::max(delay, PeerBackoff)), now);
     m_continuesListing = false;
     m_source.reset();
 }
@@ -120,7 +131,7 @@
             m_picker.setHasState();
     }
     if (use.isFresh) {
-        m_picker.onSourceSucceeded(*m_source, now);
+        m_picker.onSourceSucceeded(*m_source, contactAt, now);
         m_source.reset();
     } else {
         onPeerFailure(now);
@@ -130,7 +141,7 @@
 
 void StateFollower::onPeerFailure(Clock::time_point now)
 {
-    m_picker.onSourceFailed(*m_source, now + PeerBackoff);
+    m_picker.onSourceFailed(*m_source, now + PeerBackoff, now);
     m_source.reset();
 }
 
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -19,6 +19,9 @@
 /// How long removals are held back after an outage of the store. The platform promises that entries
 /// which expired during the outage are back within about two seconds if the target is alive.
 constexpr milliseconds RecoveryGrace{2300};
+/// The shortest outage of the store in which entries of live targets can expire: they do after 3.6
+/// s without a report, and targets report every 1.2 s.
+constexpr milliseconds MinOutage{2400};
 /// How often a VM without state looks for other VMs: a seed that starts at the same time is
 /// available some ten milliseconds later.
 constexpr milliseconds JoinInterval{50};
@@ -64,7 +67,7 @@
     , m_duty("registry", RingCapacity)
     , m_connection(m_duty.io(), settings.storeAddress)
     , m_follower(m_self, settings.seeds, settings.watchWait, Clock::now())
-    , m_storeView(RecoveryGrace)
+    , m_storeView(RecoveryGrace, MinOutage)
     , m_pool(m_self, settings.retryBudget, settings.assumedVms,
              {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onGrants})
     , m_pendingPulls(m_duty.io(), [this](const PendingStatePull &pull) { replyToPull(pull); })
@@ -213,7 +216,6 @@
     }
     m_sinks.onRead("ok", took);
     setLastSource(FromStore{});
-    m_storeView.onStoreContact(Clock::now());
     if (isListing)
         onPage(*response);
     else
@@ -224,7 +226,7 @@
 void RegistryDuty::onChanges(const StoreResponse &response)
 {
     m_follower.onChanges(response.revision, !response.entries.empty(), Clock::now());
-    checkForRecovery();
+    onStoreContact();
     for (const StoreEntry &entry : response.entries)
         applyEntry(entry, response.revision);
     replyToPulls();
@@ -234,7 +236,7 @@
 {
     const std::uint64_t before = m_follower.revision();
     m_follower.onPage(response.revision, !response.isTruncated, response.lastKey, Clock::now());
-    checkForRecovery();
+    onStoreContact();
     for (const StoreEntry &entry : response.entries) {
         if (const auto *target = std::get_if<RegisteredTarget>(&entry.value))
             m_listedTargets.push_back(*target);
@@ -260,15 +262,19 @@
     replyToPulls();
 }
 
-void RegistryDuty::checkForRecovery()
+void RegistryDuty::onStoreContact()
 {
-    if (!m_follower.takeStoreRecovered())
-        return;
     const Clock::time_point now = Clock::now();
-    m_storeView.onStoreRecovered(now);
-    logEvent(LogLevel::Info, "store_regained",
-             {{"away_ms", std::to_string(wholeMilliseconds(now - m_unavailableSince).count())},
-              {"revision", std::to_string(m_follower.revision())}});
+    if (m_follower.takeStoreRecovered()) {
+        m_storeView.onStoreRecovered(now);
+        const auto held = m_storeView.registry().removalsHeldUntil() - now;
+        logEvent(LogLevel::Info, "store_regained",
+                 {{"away_ms", std::to_string(wholeMilliseconds(now - m_unavailableSince).count())},
+                  {"revision", std::to_string(m_follower.revision())},
+                  {"removals_held_ms",
+                   std::to_string(std::max<std::int64_t>(wholeMilliseconds(held).count(), 0))}});
+    }
+    m_storeView.onStoreContact(now);
 }
 
 void RegistryDuty::onStoreFailure(const std::string &why)
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -84,7 +84,8 @@
     /// Called after a listing or the state of another VM was applied; `isFirst` if it was the
     /// first.
     void onTargetsUpdated(bool isFirst);
-    void checkForRecovery();
+    /// Records a response of the store.
+    void onStoreContact();
     void onStoreFailure(const std::string &why);
 
     void fetchFromPeer(const PullFromPeer &pull);
--- a/src/entry/storeview.cpp
+++ b/src/entry/storeview.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-StoreView::StoreView(milliseconds recoveryGrace)
+StoreView::StoreView(milliseconds recoveryGrace, milliseconds minOutage)
     : m_registry(recoveryGrace)
     , m_changes(RememberedTargets)
+    , m_minOutage(minOutage)
 {
 }
 
@@ -108,6 +109,12 @@
             m_changes.onTargetChange(id, revision);
 }
 
+void StoreView::onStoreRecovered(Clock::time_point now)
+{
+    if (now - m_lastContact >= m_minOutage)
+        m_registry.onStoreRecovered(now);
+}
+
 bool StoreView::adopt(const RoutingDocument &document, const std::string &bytes,
                       std::uint64_t revision)
 {
--- a/src/entry/storeview.h
+++ b/src/entry/storeview.h
@@ -25,8 +25,9 @@
 class StoreView
 {
 public:
-    /// `recoveryGrace` is how long removals are held back after an outage of the store.
-    explicit StoreView(std::chrono::milliseconds recoveryGrace);
+    /// `recoveryGrace` is how long removals are held back after an outage of the store. In an
+    /// outage shorter than `minOutage` no entry of a live target expires.
+    StoreView(std::chrono::milliseconds recoveryGrace, std::chrono::milliseconds minOutage);
 
     std::vector<RegistryChange> put(const RegisteredTarget &target, std::uint64_t revision);
     std::vector<RegistryChange> remove(const TargetId &id, std::uint64_t revision,
@@ -51,7 +52,10 @@
 
     /// Records that this VM, or the VM that provided the state, had contact with the store at `at`.
     void onStoreContact(Clock::time_point at) { m_lastContact = std::max(m_lastContact, at); }
-    void onStoreRecovered(Clock::time_point now) { m_registry.onStoreRecovered(now); }
+    /// Records that the store responds again after a failure; must be called before
+    /// `onStoreContact`. Removals are held back only if the store may have been out for long
+    /// enough since the last contact.
+    void onStoreRecovered(Clock::time_point now);
     void holdRemovals(Clock::time_point until) { m_registry.holdRemovals(until); }
 
     bool hasState() const { return m_hasState; }
@@ -73,6 +77,7 @@
     ChangeLog m_changes;
     RoutingTablePtr m_routing;
     std::string m_configurationBytes;
+    std::chrono::milliseconds m_minOutage;
     Clock::time_point m_lastContact{};
     bool m_hasState = false;
 };
--- a/test/unit/followingfleet.h
+++ b/test/unit/followingfleet.h
@@ -305,7 +305,7 @@
         Vm(const Member &member, Clock::time_point now)
             : id(member.vm)
             , follower(member, {}, EntrySettings().watchWait, now)
-            , view(milliseconds(2300))
+            , view(milliseconds(2300), milliseconds(2400))
         {
         }
         VmId id;
--- a/test/unit/sourcepicker_test.cpp
+++ b/test/unit/sourcepicker_test.cpp
@@ -82,11 +82,11 @@
         for (auto source = picker.pick(Start); source && !isStore(source);
              source = picker.pick(Start)) {
             used.push_back(*source);
-            picker.onSourceFailed(*source, Start + seconds(2));
+            picker.onSourceFailed(*source, Start + seconds(2), Start);
         }
         CHECK(used.size() == 3);
         CHECK(isStore(picker.pick(Start)));
-        picker.onSourceFailed(FromStore{}, Start + seconds(2));
+        picker.onSourceFailed(FromStore{}, Start + seconds(2), Start);
         CHECK_FALSE(isStore(picker.pick(Start + seconds(2))));
     }
     SECTION("reaches the store even if each watcher is slow to fail")
@@ -96,7 +96,7 @@
         for (auto source = picker.pick(now); source && !isStore(source);
              source = picker.pick(now)) {
             now += seconds(1);
-            picker.onSourceFailed(*source, now + seconds(2));
+            picker.onSourceFailed(*source, now + seconds(2), now);
             REQUIRE(++used <= 3);
         }
         CHECK(isStore(picker.pick(now)));
@@ -105,15 +105,15 @@
     {
         for (auto source = picker.pick(Start); source && !isStore(source);
              source = picker.pick(Start))
-            picker.onSourceFailed(*source, Start + seconds(2));
-        picker.onSourceSucceeded(FromStore{}, Start + seconds(1));
+            picker.onSourceFailed(*source, Start + seconds(2), Start);
+        picker.onSourceSucceeded(FromStore{}, Start + seconds(1), Start + seconds(1));
         CHECK(isStore(picker.pick(Start + seconds(1))));
         CHECK_FALSE(isStore(picker.pick(Start + seconds(2))));
     }
     SECTION("waits if all sources have failed, until the first may be used again")
     {
         for (auto source = picker.pick(Start); source; source = picker.pick(Start))
-            picker.onSourceFailed(*source, Start + seconds(2));
+            picker.onSourceFailed(*source, Start + seconds(2), Start);
         CHECK(picker.retryAt(Start) == Start + seconds(2));
     }
     SECTION("uses watchers of other domains if its own and the store have failed")
@@ -127,7 +127,7 @@
         for (auto source = picker.pick(Start); source; source = picker.pick(Start)) {
             if (const auto *peer = std::get_if<FromPeer>(&*source))
                 last = peer->vm;
-            picker.onSourceFailed(*source, Start + seconds(2));
+            picker.onSourceFailed(*source, Start + seconds(2), Start);
         }
         CHECK(last.substr(0, 1) == "b");
     }
@@ -138,23 +138,55 @@
     const MemberViewPtr view = fleetOf(3, "a");
     SourcePicker picker = pickersOf(view).front();
     REQUIRE(isStore(picker.pick(Start)));
-    picker.onSourceFailed(FromStore{}, Start + milliseconds(50));
+    const Clock::time_point recheckAt = Start + milliseconds(50);
+    picker.onSourceFailed(FromStore{}, recheckAt, Start);
 
-    SECTION("uses a peer, and does not use the store for a while if the peer has fresh state")
+    SECTION("tries the store once more before it uses a peer, as only a watch may have been cut")
     {
-        const auto peer = picker.pick(Start);
-        REQUIRE(peer);
-        CHECK_FALSE(isStore(peer));
-        picker.onSourceSucceeded(*peer, Start);
-        CHECK_FALSE(isStore(picker.pick(Start + milliseconds(1900))));
-        CHECK(isStore(picker.pick(Start + milliseconds(2000))));
+        CHECK_FALSE(picker.pick(Start));
+        CHECK(picker.retryAt(Start) == recheckAt);
+        CHECK(isStore(picker.pick(recheckAt)));
+        SECTION("and watches the store again if it responds")
+        {
+            picker.onSourceSucceeded(FromStore{}, recheckAt, recheckAt);
+            CHECK(isStore(picker.pick(recheckAt)));
+            CHECK_FALSE(picker.storeRetryAt());
+        }
     }
-    SECTION("uses the store again soon if no peer has fresh state")
+    GIVEN("that the store has failed a second time")
     {
-        for (auto source = picker.pick(Start); source; source = picker.pick(Start))
-            picker.onSourceFailed(*source, Start + seconds(2));
-        CHECK(picker.retryAt(Start) == Start + milliseconds(50));
-        CHECK(isStore(picker.pick(Start + milliseconds(50))));
+        const Clock::time_point retryAt = recheckAt + milliseconds(100);
+        picker.onSourceFailed(FromStore{}, retryAt, recheckAt);
+        const auto peer = picker.pick(recheckAt);
+        REQUIRE(peer);
+        REQUIRE_FALSE(isStore(peer));
+        CHECK(picker.storeRetryAt() == retryAt);
+
+        SECTION("it does not use the store for a while if a peer has reached the store since")
+        {
+            picker.onSourceSucceeded(*peer, recheckAt + milliseconds(1), recheckAt);
+            CHECK_FALSE(isStore(picker.pick(recheckAt + milliseconds(1900))));
+            CHECK(isStore(picker.pick(recheckAt + milliseconds(2000))));
+            SECTION("and does not extend that time with each reply")
+            {
+                picker.onSourceSucceeded(*peer, recheckAt + milliseconds(999),
+                                         recheckAt + milliseconds(1000));
+                CHECK(isStore(picker.pick(recheckAt + milliseconds(2000))));
+            }
+        }
+        SECTION("it uses the store again soon if the peer's state is fresh but older than that")
+        {
+            picker.onSourceSucceeded(*peer, recheckAt - milliseconds(300), recheckAt);
+            CHECK_FALSE(isStore(picker.pick(retryAt - milliseconds(1))));
+            CHECK(isStore(picker.pick(retryAt)));
+        }
+        SECTION("it uses the store again soon if no peer has fresh state")
+        {
+            for (auto source = picker.pick(recheckAt); source; source = picker.pick(recheckAt))
+                picker.onSourceFailed(*source, Start + seconds(2), recheckAt);
+            CHECK(picker.retryAt(recheckAt) == retryAt);
+            CHECK(isStore(picker.pick(retryAt)));
+        }
     }
 }
 
@@ -179,7 +211,7 @@
     {
         picker.setMembers(fleetOf(4, "a", true));
         CHECK(picker.pick(Start) == StoreSource(FromPeer{"a-1"}));
-        picker.onSourceFailed(FromPeer{"a-1"}, Start + seconds(2));
+        picker.onSourceFailed(FromPeer{"a-1"}, Start + seconds(2), Start);
         CHECK_FALSE(picker.pick(Start));
     }
     SECTION("immediately uses the store if it is a seed")
--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -1,4 +1,7 @@
 #include <cstdlib>
+#include <map>
+#include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -16,11 +19,29 @@
 constexpr milliseconds ChangeBound{3000};
 constexpr milliseconds RecoveryBound{4000};
 
+/// How long targets whose entries expired in an outage have to write them again.
+constexpr milliseconds RemovalGrace{2300};
+
 const std::vector<std::vector<std::string>> Shapes{
     {"a", "a", "b", "b", "c", "d"},
     {"a", "a", "a", "a", "b", "b", "c", "c"},
     {"a", "a", "a", "a", "a", "a", "a", "b", "b", "b", "b", "b"}};
 
+/// The store's 2,000 reads a second, divided by the watchers of the largest deployment that is
+/// designed for: three in each of seven failure domains.
+constexpr std::uint64_t MaxReadsPerWatcher = 2000 / 21;
+
+std::uint64_t watchersOf(const std::vector<std::string> &shape)
+{
+    std::map<std::string, std::uint64_t> vms;
+    for (const std::string &domain : shape)
+        ++vms[domain];
+    std::uint64_t watchers = 0;
+    for (const auto &[domain, count] : vms)
+        watchers += std::min<std::uint64_t>(count, 3);
+    return watchers;
+}
+
 RegisteredTarget targetOf(int number, bool isDraining = false)
 {
     RegisteredTarget target;
@@ -60,8 +81,9 @@
     {
         const Clock::time_point now = simulation.now();
         for (const VmId &vm : fleet->vms()) {
-            const auto isDue = [&](Clock::time_point changedAt) {
-                return now > changedAt + ChangeBound && now > calmFrom + RecoveryBound;
+            const auto isDue = [&](Clock::time_point changedAt, milliseconds grace = 0ms) {
+                return now > changedAt + ChangeBound + grace
+                    && now > calmFrom + RecoveryBound + grace;
             };
             for (const auto &[id, entry] : store.entries()) {
                 if (entry.changedAt < changedFrom)
@@ -69,7 +91,11 @@
                 if (entry.revision <= fleet->follower(vm).revision()
                     && !fleet->hasSeen(vm, entry, true))
                     return vm + " lacks a change of " + id + " before its revision";
-                if (isDue(entry.changedAt) && !fleet->hasSeen(vm, entry, false))
+                // An entry that is removed while the store is not stable may have expired only for
+                // that reason, so the removal is held back.
+                const bool isHeld = entry.isRemoved && entry.changedAt < calmFrom + RecoveryBound;
+                if (isDue(entry.changedAt, isHeld ? RemovalGrace : 0ms)
+                    && !fleet->hasSeen(vm, entry, false))
                     return vm + " still acts on the earlier state of " + id;
             }
             const ConfigVersion version = fleet->view(vm).routing()->version();
@@ -136,3 +162,131 @@
         CHECK(deployment.runAndCheck(10s) == "");
     }
 }
+
+// Guards against VMs that take a cut watch for an outage of the store: they asked each other
+// instead of the store, and then held removals back.
+TEST_CASE("Removed targets are not used for long although the store cuts its watches")
+{
+    for (const auto &shape : Shapes) {
+        Deployment deployment(1, shape);
+        SECTION("once, just before a removal")
+        {
+            deployment.store.remove(targetOf(1).id);
+            deployment.run(600ms);
+            deployment.store.cutWatches();
+            deployment.run(50ms);
+            deployment.store.remove(targetOf(2).id);
+            CHECK(deployment.runAndCheck(10s) == "");
+        }
+        SECTION("again and again")
+        {
+            deployment.store.remove(targetOf(1).id);
+            for (int i = 0; i < 8; ++i) {
+                deployment.store.cutWatches();
+                CHECK(deployment.runAndCheck(1500ms) == "");
+            }
+        }
+    }
+}
+
+TEST_CASE("VMs that follow a store are up to date in time, whatever harms it")
+{
+    using Mode = SimulatedStore::Mode;
+    const char *seedText = std::getenv("MANGOSHIFT_SEED");
+    const std::uint64_t firstSeed = seedText == nullptr ? 1 : std::stoull(seedText);
+    const std::uint64_t lastSeed = seedText == nullptr ? 1500 : firstSeed;
+    for (std::uint64_t seed = firstSeed; seed <= lastSeed; ++seed) {
+        CAPTURE(seed);
+        const auto &shape = Shapes[seed % Shapes.size()];
+        Deployment deployment(seed, shape);
+        Simulation &simulation = deployment.simulation;
+        SimulatedStore &store = deployment.store;
+        std::mt19937_64 &random = deployment.random;
+        const Clock::time_point end = simulation.now() + 15s;
+
+        // A fault that harms the store for some time.
+        const auto harm = [&](Clock::time_point at, const std::function<void()> &begin,
+                              const std::function<void()> &finish) {
+            const Clock::time_point until = at + 100ms + deployment.upTo(2500ms);
+            deployment.calmFrom = std::max(deployment.calmFrom, until);
+            simulation.at(at, begin);
+            simulation.at(until, finish);
+        };
+        for (int i = 0; i < 3; ++i) {
+            const Clock::time_point at = simulation.now() + deployment.upTo(10s);
+            const auto setMode = [&store](Mode mode) {
+                return [&store, mode] { store.setMode(mode); };
+            };
+            switch (random() % 8) {
+            case 0:
+                harm(at, setMode(Mode::Silent), setMode(Mode::Usual));
+                break;
+            case 1:
+                harm(
+                    at,
+                    [&store] {
+                        store.setMode(Mode::Silent);
+                        store.loseWatches();
+                    },
+                    setMode(Mode::Usual));
+                break;
+            case 2:
+                harm(
+                    at,
+                    [&store] {
+                        store.setMode(Mode::Refusing);
+                        store.cutWatches();
+                    },
+                    setMode(Mode::Usual));
+                break;
+            case 3:
+                harm(at, setMode(Mode::LosingAnswers), setMode(Mode::Usual));
+                break;
+            case 4:
+                harm(
+                    at, [&store] { store.setLatency(200ms); }, [&store] { store.setLatency(5ms); });
+                break;
+            case 5:
+                harm(
+                    at,
+                    [&store] {
+                        store.setRejected({"vm0", "vm2"});
+                    },
+                    [&store] { store.setRejected({}); });
+                break;
+            case 6:
+                simulation.at(at, [&store] { store.cutWatches(); });
+                break;
+            default:
+                simulation.at(at, [&store] { store.discardHistory(); });
+                break;
+            }
+        }
+        // Watches that are cut again and again are no fault of the store.
+        if (random() % 4 == 0)
+            for (int i = 1; i < 8; ++i)
+                simulation.after(1500ms * i, [&store] { store.cutWatches(); });
+        for (int i = 0; i < 12; ++i) {
+            const int target = static_cast<int>(random() % Deployment::TargetCount);
+            const std::uint64_t kind = random() % 4;
+            simulation.after(deployment.upTo(12s), [&store, target, kind] {
+                const auto &entries = store.entries();
+                const RegisteredTarget draining = targetOf(target, true);
+                const bool isRemoved = entries.at(draining.id).isRemoved;
+                if (kind == 0)
+                    store.publish();
+                else if (isRemoved)
+                    store.put(targetOf(target));
+                else if (kind == 1)
+                    store.put(draining);
+                else
+                    store.remove(draining.id);
+            });
+        }
+        while (simulation.now() < end) {
+            const std::uint64_t readsBefore = store.reads();
+            REQUIRE(deployment.runAndCheck(1s) == "");
+            REQUIRE(store.reads() - readsBefore <= MaxReadsPerWatcher * watchersOf(shape));
+        }
+    }
+}
--- a/test/unit/storeview_test.cpp
+++ b/test/unit/storeview_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr milliseconds RecoveryGrace{2000};
+constexpr milliseconds MinOutage{2400};
 const Clock::time_point Start{seconds(1000)};
 
 RegisteredTarget targetOf(const std::string &id, std::uint64_t sequence = 1)
@@ -37,7 +38,7 @@
 
 TEST_CASE("Other VMs are sent the state of the store that is newer than their revision")
 {
-    StoreView view(RecoveryGrace);
+    StoreView view(RecoveryGrace, MinOutage);
 
     SECTION("nothing is sent before the targets have been listed")
     {
@@ -90,29 +91,36 @@
             CHECK_FALSE(view.adopt(document, "other", 11));
             CHECK_FALSE(view.stateAfter(10, 11, Start).configuration == "other");
         }
+        SECTION("a removal after a failure that was too short for entries to expire is not held")
+        {
+            const Clock::time_point now = Start + MinOutage - milliseconds(1);
+            view.onStoreRecovered(now);
+            CHECK(view.remove("a", 11, now).size() == 1);
+        }
         SECTION("a held removal is sent with the time for which it is held")
         {
-            view.onStoreRecovered(Start);
-            CHECK(view.remove("a", 11, Start).empty());
-            const PeerState state = view.stateAfter(10, 11, Start + milliseconds(500));
+            const Clock::time_point back = Start + MinOutage;
+            view.onStoreRecovered(back);
+            CHECK(view.remove("a", 11, back).empty());
+            const PeerState state = view.stateAfter(10, 11, back + milliseconds(500));
             CHECK(state.removed == std::vector<TargetId>{"a"});
             CHECK(state.removalsHeldFor == milliseconds(1500));
 
             SECTION("and the return of that target is sent, although nothing changed for this VM")
             {
                 CHECK(view.put(targetOf("a", 2), 12).empty());
-                CHECK(idsOf(view.stateAfter(11, 12, Start)) == std::vector<std::string>{"a"});
+                CHECK(idsOf(view.stateAfter(11, 12, back)) == std::vector<std::string>{"a"});
             }
             SECTION("and its return in a listing is sent")
             {
-                view.replaceAll({targetOf("a", 2), targetOf("b")}, 11, 12, Start);
-                const auto ids = idsOf(view.stateAfter(11, 12, Start));
+                view.replaceAll({targetOf("a", 2), targetOf("b")}, 11, 12, back);
+                const auto ids = idsOf(view.stateAfter(11, 12, back));
                 CHECK(std::count(ids.begin(), ids.end(), "a") == 1);
             }
             SECTION("and the removal is carried out when the grace period is over")
             {
-                CHECK(view.nextExpiry() == Start + RecoveryGrace);
-                CHECK(view.expire(12, Start + RecoveryGrace).size() == 1);
+                CHECK(view.nextExpiry() == back + RecoveryGrace);
+                CHECK(view.expire(12, back + RecoveryGrace).size() == 1);
             }
         }
     }
