Pass a pipelined request on only after respond has returned

Cause: CallerConnection::respond parsed the next request in the same call, while the entry duty still held the finished exchange of the connection. The new exchange was not stored, had no owner and was destroyed with its parts in flight. Evidence: the new unit test finds the second request already passed on when respond returns. Ruled out: the parser, the target.

Change: the next request is parsed in a later turn of the event loop.

--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <asio/buffer.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include "http/httpstatus.h"
@@ -181,9 +182,14 @@
     }
     m_state = State::Reading;
     m_stateSince = Clock::now();
-    parseBytes();
-    if (m_state != State::Closed)
-        waitForData();
+    waitForData();
+    if (m_unparsed.empty())
+        return;
+    // Posted, because the owner may still be finishing the request that it has just responded to.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_state == State::Reading)
+            self->parseBytes();
+    });
 }
 
 void CallerConnection::linger()
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -22,7 +22,8 @@
 /// sets `onClosed` itself.
 struct CallerEvents
 {
-    /// A complete request was received. The handler must call `respond` exactly once.
+    /// A complete request was received. The handler must call `respond` exactly once. Never called
+    /// from within `respond`.
     std::function<void(const CallerConnectionPtr &, HttpRequest)> onRequest;
     /// The caller disconnected before its request was answered.
     std::function<void(const CallerConnectionPtr &)> onCallerDisconnected;
--- a/test/system/badinput_test.cpp
+++ b/test/system/badinput_test.cpp
@@ -1,10 +1,6 @@
 #include <csignal>
 #include <fstream>
 
-#include <asio/buffer.hpp>
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -12,50 +8,15 @@
 #include "app/files.h"
 #include "base/address.h"
 #include "deployment.h"
+#include "rawconnection.h"
 #include "wire/framecodec.h"
 
 using namespace mangoshift;
 using namespace mangoshift::testing;
 using Json = nlohmann::json;
-using asio::ip::tcp;
 
 namespace {
 
-/// A TCP connection that sends and receives raw bytes.
-class RawConnection
-{
-public:
-    explicit RawConnection(const Address &address)
-        : m_socket(m_io)
-    {
-        m_socket.connect(tcp::endpoint(asio::ip::make_address(address.ip), address.port));
-    }
-
-    /// Sends bytes. Ignores errors, as the peer may close the connection at any time.
-    void send(const std::string &bytes)
-    {
-        asio::error_code ignored;
-        asio::write(m_socket, asio::buffer(bytes), ignored);
-    }
-
-    /// Waits until the peer closes the connection. Returns the bytes received until then.
-    std::string readToEnd()
-    {
-        std::string received;
-        std::array<char, 4096> buffer{};
-        asio::error_code error;
-        while (!error) {
-            const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
-            received.append(buffer.data(), size);
-        }
-        return received;
-    }
-
-private:
-    asio::io_context m_io;
-    tcp::socket m_socket;
-};
-
 Address peerAddressOf(const Deployment &deployment, const std::string &vm)
 {
     const auto text = readFile(deployment.folder() + "/settings/" + vm + ".json");
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "entrysystem.h"
+#include "rawconnection.h"
 
 using namespace mangoshift;
 using namespace mangoshift::testing;
@@ -140,6 +141,21 @@
     }
 }
 
+TEST_CASE("Requests that a caller sends before the previous response are all answered, in order")
+{
+    EntrySystem system;
+    RawConnection caller(system.callerAddress());
+    const auto order = [](const std::string &id) {
+        return "POST /orders/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
+            + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 3\r\n\r\none";
+    };
+    caller.send(order("piped-1") + order("piped-2") + order("piped-3"));
+    for (const std::string id : {"piped-1", "piped-2", "piped-3"}) {
+        CHECK(caller.receives("X-Request-Id: " + id));
+        CHECK(system.targetsThatRan(id).size() == 1);
+    }
+}
+
 TEST_CASE("A request that waits for a target is charged to the retry budget once")
 {
     constexpr int slack = 5;
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -14,6 +14,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "base/address.h"
 #include "deployment.h"
 #include "process.h"
 
@@ -198,6 +199,8 @@
         return statuses;
     }
 
+    Address callerAddress(int vm = 1) const { return {loopbackIp(lastOctetOf(vm)), CallerPort}; }
+
     bool isReady(int vm = 1)
     {
         const auto result =
--- a/test/unit/callerlistener_test.cpp
+++ b/test/unit/callerlistener_test.cpp
@@ -152,6 +152,21 @@
     }
 }
 
+// Guards against a request that is run and never answered, because its owner still held the
+// previous request of the connection when it arrived.
+TEST_CASE("A pipelined request is passed on only after the call of respond has returned")
+{
+    ListenerFixture fixture;
+    const std::string headers = " HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+    fixture.send("GET /one" + headers + "GET /two" + headers);
+    REQUIRE(fixture.runUntilRequests(1));
+    fixture.respond("first");
+    CHECK(fixture.requests().size() == 1);
+    REQUIRE(fixture.runUntilRequests(2));
+    fixture.respond("second");
+    CHECK(fixture.receives("second"));
+}
+
 TEST_CASE("An invalid request from a caller is rejected and its connection closed")
 {
     ListenerFixture fixture;
