--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -1,3 +1,8 @@
+#include <string>
+#include <vector>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
@@ -46,6 +51,39 @@
     return decoded ? std::string() : decoded.error();
 }
 
+std::string toBase64(const std::string &bytes)
+{
+    namespace it = boost::archive::iterators;
+    using Encoder = it::base64_from_binary<it::transform_width<std::string::const_iterator, 6, 8>>;
+    const std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
+    return text + std::string((3 - bytes.size() % 3) % 3, '=');
+}
+
+/// Decodes a listing of one odd entry between two valid ones.
+StoreResponse decodeWithOddEntry(const std::string &key, const std::string &value)
+{
+    const auto item = [](const std::string &itemKey, const std::string &bytes) {
+        return Json{{"key", itemKey}, {"revision", 1}, {"value", toBase64(bytes)}};
+    };
+    const Json body{{"current_rev", 9},
+                    {"items",
+                     {item("servers/i-1", TargetEntry.dump()), item(key, value),
+                      item("servers/i-3", TargetEntry.dump())}}};
+    const auto response = platform::adapter().parseListing(body.dump());
+    REQUIRE(response);
+    return *response;
+}
+
+/// Returns an entry whose member `name` has the JSON text `text`.
+std::string entryWith(const std::string &name, const std::string &text)
+{
+    Json json = TargetEntry;
+    json.erase(name);
+    std::string bytes = json.dump();
+    bytes.pop_back();
+    return bytes + ",\"" + name + "\":" + text + "}";
+}
+
 } // namespace
 
 TEST_CASE("The platform's configuration is decoded")
@@ -151,6 +189,44 @@
     }
 }
 
+// Guards against a VM that ends, or stops following the store, because of an entry of another
+// writer.
+TEST_CASE("An odd entry names no target, and the entries beside it hold")
+{
+    const std::string key = "servers/i-2";
+    const std::size_t deep = 400'000;
+    const std::vector<std::pair<std::string, std::string>> entries{
+        {key, std::string(1U << 20U, '[')},
+        {key, std::string(deep, '[') + std::string(deep, ']')},
+        {key, entryWith("extra", std::string(deep, '[') + std::string(deep, ']'))},
+        {key, entryWith("service", std::string(deep, '[') + std::string(deep, ']'))},
+        {key, entryWith("seq", "1e400")},
+        {key, entryWith("seq", "99999999999999999999999")},
+        {key, entryWith("born", "-1e30")},
+        {key, entryWith("slots", "4294967296")},
+        {key, entryWith("warmup_left_ms", "1e300")},
+        {key, entryWith("address", R"("127.0.0.1:65536")")},
+        {key, entryWith("address", R"("127.0.0.1:0")")},
+        {key, entryWith("address", R"("127.0.0.1:-80")")},
+        {key, entryWith("address", R"("127.0.0.1:99999999999999999999")")},
+        {key, entryWith("address", R"("somewhere:80")")},
+        {key, std::string("\xff\xfe\x00", 3)},
+        {key, ""},
+        {"servers/", TargetEntry.dump()},
+        {"servers/", Document.dump()},
+        {"servers/i-2\r\nX-Request-Id: other", TargetEntry.dump()},
+        {"servers/i 2", TargetEntry.dump()}};
+    for (const auto &[oddKey, value] : entries) {
+        INFO(oddKey << " " << value.substr(0, 200));
+        const StoreResponse response = decodeWithOddEntry(oddKey, value);
+        REQUIRE(response.entries.size() == 3);
+        CHECK(std::holds_alternative<RegisteredTarget>(response.entries[0].value));
+        CHECK(std::holds_alternative<UnreadableEntry>(response.entries[1].value));
+        CHECK(std::holds_alternative<RegisteredTarget>(response.entries[2].value));
+        CHECK(response.lastKey == "servers/i-3");
+    }
+}
+
 TEST_CASE("Requests to the store have the platform's form")
 {
     const WireAdapter adapter = platform::adapter();
--- a/test/unit/targetchannels_test.cpp
+++ b/test/unit/targetchannels_test.cpp
@@ -185,6 +185,29 @@
     }
 }
 
+// Guards against a response whose head was cut off being passed on as a whole one with an empty
+// body.
+TEST_CASE("A response that is cut off anywhere is not accepted")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nrequest-id: r1\r\nreceipt: abc\r\n";
+    const std::vector<std::string> responses{
+        head + "Content-Length: 6\r\n\r\nabcdef",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 6\r\n\r\nabcdef",
+        // Its end is the end of the connection, so only the head can be cut off.
+        head + "\r\n"};
+    for (const std::string &response : responses) {
+        for (std::size_t size = 0; size < response.size(); ++size) {
+            INFO(response.substr(0, size));
+            Exchange exchange([&](const ScriptedServer::ConnectionPtr &connection) {
+                connection->send(response.substr(0, size));
+                connection->close();
+            });
+            CHECK(exchange.call("r1") == "lost");
+        }
+    }
+}
+
 TEST_CASE("A response without a length ends when its connection is closed")
 {
     Exchange exchange([](const ScriptedServer::ConnectionPtr &connection) {
