Obey what targets say about themselves in their responses

Change: platform/ decodes both from every complete response, also late ones and those of other requests, but not from a 421, which another target sent. TargetStanding decides: leaving ends only with another incarnation, a pause only with its time (spread by up to half a second). TargetStandings keeps them beyond registry entries. TargetDirectory picks no such target, hands back the calls that wait for its connections, closes these when idle, and ends waiting calls for which no target is left: a forwarded request waits if the pause ends within its deadline, a part of a query if it ends before a partial answer may be sent. What cannot be served is refused at once, with the time at which capacity returns, spread by priority (retryDelay). A call that was handed back unsent no longer counts as arrived, so that its repeat costs no retry budget.

--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -36,6 +36,8 @@
     /// Records that a response is overdue. The target is avoided until it responds, or for a
     /// limited time.
     void onOverdue(Clock::time_point now);
+    /// Lets the number of concurrent requests grow from one again, for a target that returns.
+    void resetLimit() { m_limit.reset(); }
     /// Sets when the target's warm-up ends; until then it counts as slower.
     void setWarmupEnd(Clock::time_point until) { m_warmupEnd = until; }
 
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -27,6 +27,8 @@
                                                           {"target_delisted", "target"},
                                                           {"target_misdirected", "target"},
                                                           {"target_failing", "target"},
+                                                          {"target_leaving", "target"},
+                                                          {"target_pauses", "target"},
                                                           {"target_answers", "target"},
                                                           {"retry_budget_spent", "budget"},
                                                           {"retry_budget_back", "budget"}};
@@ -46,6 +48,13 @@
     {"not_ready", "the VM did not know the configuration or the targets yet"},
     {"cancelled", "the caller had disconnected"}};
 
+/// Why a request was not sent to a service.
+const std::map<std::string, std::string> NotSentTexts{
+    {"no_target", "no other target is known"},
+    {"no_room", "no target has capacity"},
+    {"leaving", "each target that is left has said that it leaves"},
+    {"paused", "each target that is left has asked for a pause that is too long for it"}};
+
 const std::map<std::string, std::string> ExecutionTexts{
     {"not_run", "It has not run anywhere."},
     {"may_have_run", "It may have run; the logs of the targets named here show whether it did."},
@@ -106,9 +115,8 @@
     if (decision.action == "waits")
         return prefix + "waits for a target of " + decision.service + " with capacity";
     if (decision.action == "not_sent")
-        return prefix + "not sent to " + decision.service
-            + (decision.reason == "no_target" ? ": no other target is known"
-                                              : ": no target has capacity");
+        return prefix + "not sent to " + decision.service + ": "
+            + textOrKey(NotSentTexts, decision.reason);
     if (decision.action == "queue_too_long")
         return prefix + "refused at once: the queues for its parts are too long for the deadline";
     if (decision.action == "out_of_reach")
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -58,6 +58,8 @@
                        .Register(*m_registry))
     , entrySends(counters(*m_registry, "mangoshift_entry_sends_total",
                           "Requests given to targets, and extra ones denied"))
+    , targetNotices(counters(*m_registry, "mangoshift_target_notices_total",
+                             "Targets that said they leave, or asked for a pause"))
     , ready(gauges(*m_registry, "mangoshift_ready", "One while this VM is ready").Add({}))
     , requestsInFlight(gauges(*m_registry, "mangoshift_entry_requests_under_way",
                               "Requests that are not answered yet")
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -62,6 +62,9 @@
     /// Requests that this entry VM sent to targets, by `cause` (`first`, `hedge`, `retry`);
     /// `denied` counts extra requests that were not sent because the budget was exhausted.
     prometheus::Family<prometheus::Counter> &entrySends;
+    /// What targets have said about themselves, by `kind` (`leaving`, `pause`), once a target and
+    /// pause.
+    prometheus::Family<prometheus::Counter> &targetNotices;
     /// 1 while this VM is ready, otherwise 0.
     prometheus::Gauge &ready;
     /// Callers' requests at this entry VM that are not answered yet.
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -32,7 +32,7 @@
     , m_state{m_duty.io(),
               adapter,
               metrics,
-              TargetDirectory(m_duty.io(), adapter, settings.assumedVms),
+              TargetDirectory(m_duty.io(), adapter, metrics, settings.assumedVms),
               {},
               RetryBudgets(m_duty.io(), settings.retryBudget, settings.assumedVms,
                            sinks.requestFromPool),
@@ -330,11 +330,16 @@
     state["log_lines_left_out"] = droppedLogLines();
     const Clock::time_point now = Clock::now();
     for (const auto &[id, handle] : m_state.directory.targets())
-        state["targets"][id] = {
-            {"service", handle->info.service},     {"in_flight", handle->load.inFlight()},
-            {"limit", handle->load.limit()},       {"misdirected", handle->isMisdirected},
-            {"slowness", handle->load.slowness()}, {"avoided", handle->load.isAvoided(now)},
-            {"failing", handle->load.isFailing()}, {"draining", handle->info.isDraining}};
+        state["targets"][id] = {{"service", handle->info.service},
+                                {"in_flight", handle->load.inFlight()},
+                                {"limit", handle->load.limit()},
+                                {"misdirected", handle->isMisdirected},
+                                {"slowness", handle->load.slowness()},
+                                {"avoided", handle->load.isAvoided(now)},
+                                {"failing", handle->load.isFailing()},
+                                {"draining", handle->info.isDraining},
+                                {"leaving", handle->standing->isLeaving()},
+                                {"paused", !handle->standing->mayReceive(now)}};
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {{"samples", route.partLatencies.samples()},
                                  {"part_p50_us", route.partLatencies.quantile(0.5).count()},
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 
@@ -44,6 +45,10 @@
     /// See `EntrySettings::replyMargin`.
     std::chrono::milliseconds replyMargin;
     ReachMonitor reachMonitor = {};
+    std::minstd_rand random{std::random_device{}()};
+
+    /// Returns a random number from 0 to 1.
+    double draw() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
 
     /// Raises the number of VMs that share the limits to `vms`. The number never shrinks.
     void growFleet(std::size_t vms)
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -246,14 +246,18 @@
         if (const auto self = weak.lock())
             self->onReply(index, target, std::move(reply));
     };
-    const CallState state = m_state.directory.call(std::move(call), now);
-    if (state == CallState::NoTarget || state == CallState::NoFreeSlot) {
-        const bool hasNoTarget = state == CallState::NoTarget;
-        addToTrace("not_sent", part.service, {}, hasNoTarget ? "no_target" : "no_room");
-        return onUnsent(action,
-                        {Execution::NotRun, hasNoTarget ? Reason::NoReplica : Reason::Overloaded,
-                         hasNoTarget ? NoReplicaRetryAfter : RefusalRetryAfter},
-                        now);
+    call.waitLimit =
+        fanOut() != nullptr ? m_partialAnswerFrom : m_request.deadline - m_expectedLatency;
+    call.onNoTarget = [weak = weak_from_this(), action](const TargetAbsence &absence) {
+        if (const auto self = weak.lock())
+            self->onNoTarget(action, absence);
+    };
+    const auto [state, absence] = m_state.directory.call(std::move(call), now);
+    if (state == CallState::NoTarget)
+        return onUnsent(action, noTargetVerdict(part, absence, now), now);
+    if (state == CallState::NoFreeSlot) {
+        addToTrace("not_sent", part.service, {}, "no_room");
+        return onUnsent(action, {Execution::NotRun, Reason::Overloaded, RefusalRetryAfter}, now);
     }
     if (state == CallState::Waiting)
         addToTrace("waits", part.service, {}, "");
@@ -266,6 +270,28 @@
     return {};
 }
 
+Verdict RequestExchange::noTargetVerdict(const Part &part, const TargetAbsence &absence,
+                                         Clock::time_point now)
+{
+    static constexpr std::array causeNames{"no_target", "leaving", "paused"};
+    addToTrace("not_sent", part.service, {},
+               causeNames.at(static_cast<std::size_t>(absence.cause)));
+    const Clock::duration delay =
+        absence.endsAt ? *absence.endsAt - now : Clock::duration(NoReplicaRetryAfter);
+    return {Execution::NotRun, Reason::NoReplica,
+            retryDelay(delay, m_request.route->priority, m_state.draw())};
+}
+
+void RequestExchange::onNoTarget(const SendPart &action, const TargetAbsence &absence)
+{
+    if (m_isFinished)
+        return;
+    const Clock::time_point now = Clock::now();
+    Part &part = m_parts[action.part];
+    part.isWaiting = false;
+    perform(onUnsent(action, noTargetVerdict(part, absence, now), now));
+}
+
 void RequestExchange::countSend(SendCause cause)
 {
     static constexpr std::array causeNames{"first", "hedge", "retry"};
@@ -345,7 +371,7 @@
     const auto verdict = classifyReply(reply);
     if (verdict) {
         addToTrace("failed", state.service, target->info.id, toString(verdict->reason).data());
-        if (reply.end == TargetCallResult::End::NotConnected && state.copies.size() == 1)
+        if (!reply.isSent && state.copies.size() == 1)
             state.mayHaveArrived = false;
         if (reply.end == TargetCallResult::End::Responded && verdict->execution == Execution::Ran
             && !promisesNotRun(reply.response.status))
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -66,6 +66,10 @@
     enum class Payment : std::uint8_t { None, Share, Pool };
     RequestActions callTarget(const SendPart &action, Payment payment, Clock::time_point now);
     void countSend(SendCause cause);
+    /// Returns the verdict on a part for which there is no target, and adds the cause to the trace.
+    Verdict noTargetVerdict(const Part &part, const TargetAbsence &absence, Clock::time_point now);
+    /// Handles a waiting part for which no target is left.
+    void onNoTarget(const SendPart &action, const TargetAbsence &absence);
     RequestActions onExtraDenied(const SendPart &action, Clock::time_point now);
     void onPoolReply(const SendPart &action, bool isGranted);
     RequestActions onUnsent(const SendPart &action, const Verdict &verdict, Clock::time_point now);
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -1,8 +1,11 @@
 #include "entry/targetdirectory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include <asio/post.hpp>
+
 #include "base/address.h"
 #include "base/log.h"
 #include "http/httpstatus.h"
@@ -18,6 +21,8 @@
 /// The number of connections beyond the target's slots, so that a stuck connection does not block a
 /// slot.
 constexpr std::size_t SpareConnections = 1;
+/// Several times the targets of the largest deployment that is designed for.
+constexpr std::size_t MaxStandings = 16384;
 
 void logIfFailingChanged(const TargetHandle &target, bool wasFailing)
 {
@@ -37,11 +42,13 @@
     return isSuccess && !response.headers.contains(names.receipt);
 }
 
-TargetDirectory::TargetDirectory(asio::io_context &io, const WireAdapter &adapter,
+TargetDirectory::TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
                                  std::size_t fleetSize)
     : m_io(io)
     , m_adapter(adapter)
+    , m_metrics(metrics)
     , m_fleetSize(fleetSize)
+    , m_standings(MaxStandings)
     , m_random(std::random_device{}())
 {
 }
@@ -84,8 +91,11 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
     ChannelOptions options;
     options.maxConnections = connectionLimit(target);
-    auto handle = std::make_shared<TargetHandle>(m_io, target, endpoint, m_adapter.headers.target,
-                                                 options, m_counts);
+    auto handle =
+        std::make_shared<TargetHandle>(m_io, target, endpoint, m_adapter.headers.target, options,
+                                       m_counts, m_standings.of(target.id, target.startedAt));
+    handle->channels.setOnResponse([this, weak = std::weak_ptr(handle)](
+                                       const HttpResponse &response) { onNotice(weak, response); });
     handle->load.setWarmupEnd(now + target.warmupLeft);
     if (target.isDraining)
         handle->drainingSince = now;
@@ -141,25 +151,67 @@
         handle->channels.setMaxConnections(connectionLimit(handle->info));
 }
 
-std::vector<TargetHandlePtr> TargetDirectory::candidates(const ServiceCall &call,
-                                                         Clock::time_point now) const
+TargetDirectory::Candidates TargetDirectory::candidates(const ServiceCall &call,
+                                                        Clock::time_point now) const
 {
-    std::vector<TargetHandlePtr> handles;
+    Candidates found;
     std::vector<TargetHandlePtr> draining;
     const auto it = m_byService.find(call.service);
     if (it == m_byService.end())
-        return handles;
+        return found;
+    TargetAbsence &absence = found.absence;
     for (const TargetHandlePtr &handle : it->second) {
         if (handle->isMisdirected
             || std::find(call.triedTargets.begin(), call.triedTargets.end(), handle)
                 != call.triedTargets.end())
             continue;
-        if (!handle->info.isDraining)
-            handles.push_back(handle);
-        else if (now - handle->drainingSince < DrainingPickTime)
+        if (handle->standing->isLeaving()) {
+            if (absence.cause == TargetAbsence::Cause::None)
+                absence.cause = TargetAbsence::Cause::Leaving;
+        } else if (!handle->standing->mayReceive(now)) {
+            absence.cause = TargetAbsence::Cause::Paused;
+            absence.endsAt = std::min(absence.endsAt.value_or(Clock::time_point::max()),
+                                      handle->standing->opensAt());
+        } else if (!handle->info.isDraining) {
+            found.handles.push_back(handle);
+        } else if (now - handle->drainingSince < DrainingPickTime) {
             draining.push_back(handle);
+        }
     }
-    return handles.empty() ? draining : handles;
+    if (found.handles.empty())
+        found.handles = std::move(draining);
+    return found;
+}
+
+bool TargetDirectory::mayWaitFor(const TargetAbsence &absence, const ServiceCall &call)
+{
+    return call.canWait && absence.endsAt && *absence.endsAt < call.waitLimit;
+}
+
+void TargetDirectory::onNotice(const std::weak_ptr<TargetHandle> &target,
+                               const HttpResponse &response)
+{
+    const TargetNotice notice = m_adapter.decodeNotice(response);
+    if (notice == TargetNotice())
+        return;
+    const TargetHandlePtr handle = target.lock();
+    std::uniform_real_distribution<double> draw(0.0, 1.0);
+    if (!handle || !handle->standing->onNotice(notice, draw(m_random), Clock::now()))
+        return;
+    const bool isLeaving = handle->standing->isLeaving();
+    m_metrics.targetNotices.Add({{"kind", isLeaving ? "leaving" : "pause"}}).Increment();
+    logEvent(LogLevel::Info, isLeaving ? "target_leaving" : "target_pauses",
+             {{"target", handle->info.id},
+              {"service", handle->info.service},
+              {"pause_ms", std::to_string(notice.pause.count())}});
+    handle->channels.dropWaiting();
+    if (isLeaving)
+        handle->channels.retire();
+    // The target may have little capacity when it returns.
+    handle->load.resetLimit();
+    // Posted, because calls of the target may still be ending.
+    asio::post(m_io,
+               [this, service = handle->info.service] { sendWaiting(service, Clock::now()); });
 }
 
 TargetHandlePtr TargetDirectory::pick(const std::vector<TargetHandlePtr> &handles,
@@ -177,18 +229,18 @@
     return picked ? free[*picked] : nullptr;
 }
 
-CallState TargetDirectory::call(ServiceCall call, Clock::time_point now)
+CallOutcome TargetDirectory::call(ServiceCall call, Clock::time_point now)
 {
-    const std::vector<TargetHandlePtr> handles = candidates(call, now);
-    if (handles.empty())
-        return CallState::NoTarget;
-    const TargetHandlePtr target = pick(handles, now);
+    const Candidates found = candidates(call, now);
+    if (found.handles.empty() && !mayWaitFor(found.absence, call))
+        return {CallState::NoTarget, found.absence};
+    const TargetHandlePtr target = pick(found.handles, now);
     if (target && send(target, call))
-        return CallState::Sent;
+        return {CallState::Sent, {}};
     if (!call.canWait)
-        return CallState::NoFreeSlot;
+        return {CallState::NoFreeSlot, {}};
     m_waiting[call.service].push_back(std::move(call));
-    return CallState::Waiting;
+    return {CallState::Waiting, {}};
 }
 
 Clock::duration TargetDirectory::expectedWait(const std::string &service,
@@ -204,7 +256,8 @@
     std::uint32_t capacity = 0;
     if (const auto it = m_byService.find(service); it != m_byService.end())
         for (const TargetHandlePtr &handle : it->second)
-            if (!handle->isMisdirected && !handle->info.isDraining && !handle->load.isAvoided(now))
+            if (!handle->isMisdirected && !handle->info.isDraining && !handle->load.isAvoided(now)
+                && handle->standing->mayReceive(now))
                 capacity += handle->load.limit();
     return callLatency * (callsAhead + 1) / std::max<std::uint32_t>(capacity, 1);
 }
@@ -284,24 +337,33 @@
     const auto it = m_waiting.find(service);
     if (it == m_waiting.end())
         return;
-    std::vector<ServiceCall> &waiting = it->second;
-    while (!waiting.empty()) {
-        // Calls that can still be in time go first; within each group the call with the earliest
-        // `usefulUntil` goes first.
-        const auto next = std::min_element(waiting.begin(), waiting.end(),
-                                           [now](const ServiceCall &a, const ServiceCall &b) {
-                                               return std::pair(a.usefulUntil < now, a.usefulUntil)
-                                                   < std::pair(b.usefulUntil < now, b.usefulUntil);
-                                           });
-        const TargetHandlePtr target = pick(candidates(*next, now), now);
-        if (!target)
-            return;
-        ServiceCall call = std::move(*next);
-        waiting.erase(next);
-        if (!send(target, call))
-            return;
+    // Calls that can still be in time go first; within each group the call with the earliest
+    // `usefulUntil` goes first.
+    std::vector<ServiceCall> waiting = std::move(it->second);
+    m_waiting.erase(it);
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [now](const ServiceCall &a, const ServiceCall &b) {
+                         return std::pair(a.usefulUntil < now, a.usefulUntil)
+                             < std::pair(b.usefulUntil < now, b.usefulUntil);
+                     });
+    std::vector<ServiceCall> left;
+    std::vector<std::pair<ServiceCall, TargetAbsence>> ended;
+    bool hasFreeSlot = true;
+    for (ServiceCall &call : waiting) {
+        const Candidates found = candidates(call, now);
+        if (found.handles.empty() && !mayWaitFor(found.absence, call)) {
+            ended.emplace_back(std::move(call), found.absence);
+            continue;
+        }
+        const TargetHandlePtr target = hasFreeSlot ? pick(found.handles, now) : nullptr;
+        hasFreeSlot = hasFreeSlot && (target || found.handles.empty());
+        if (!target || !send(target, call))
+            left.push_back(std::move(call));
     }
-    m_waiting.erase(service);
+    if (!left.empty())
+        std::move(left.begin(), left.end(), std::back_inserter(m_waiting[service]));
+    for (auto &[call, absence] : ended)
+        call.onNoTarget(absence);
 }
 
 void TargetDirectory::dropWaiting(const std::string &service, const ForwardedRequestPtr &request)
@@ -333,7 +395,8 @@
 std::size_t TargetDirectory::countReachableServices(const std::vector<std::string> &services) const
 {
     const auto isReachable = [](const TargetHandlePtr &handle) {
-        return !handle->isMisdirected && !handle->info.isDraining && !handle->load.isUnresponsive();
+        return !handle->isMisdirected && !handle->info.isDraining && !handle->standing->isLeaving()
+            && !handle->load.isUnresponsive();
     };
     return static_cast<std::size_t>(
         std::count_if(services.begin(), services.end(), [&](const std::string &service) {
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -9,11 +10,13 @@
 
 #include <asio/io_context.hpp>
 
+#include "base/metrics.h"
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/targetload.h"
 #include "mangoshift/targetregistry.h"
+#include "mangoshift/targetstanding.h"
 
 namespace mangoshift {
 
@@ -23,6 +26,7 @@
     RegisteredTarget info;
     TargetLoad load;
     TargetChannels channels;
+    std::shared_ptr<TargetStanding> standing;
     /// When this VM was notified that the target is draining.
     Clock::time_point drainingSince{};
     /// Set when another target responded at this target's address, which means that this target no
@@ -31,15 +35,30 @@
 
     TargetHandle(asio::io_context &io, RegisteredTarget target,
                  const asio::ip::tcp::endpoint &endpoint, const TargetHeaderNames &names,
-                 ChannelOptions options, ChannelCounts &counts)
+                 ChannelOptions options, ChannelCounts &counts,
+                 std::shared_ptr<TargetStanding> knownStanding)
         : info(std::move(target))
         , load(info.slots)
         , channels(io, endpoint, info.id, names, options, counts)
+        , standing(std::move(knownStanding))
     {
     }
 };
 using TargetHandlePtr = std::shared_ptr<TargetHandle>;
 
+/// Why a call cannot be sent to any target of its service.
+struct TargetAbsence
+{
+    enum class Cause : std::uint8_t {
+        None, ///< No target is known, or each one has been tried.
+        Leaving, ///< At least one target has said that it leaves; no other is left.
+        Paused, ///< At least one target has asked for a pause that is too long for the call.
+    };
+    Cause cause = Cause::None;
+    /// When the first target may get requests again; no value if that is not known.
+    std::optional<Clock::time_point> endsAt;
+};
+
 /// A request to be sent to any target of a service.
 struct ServiceCall
 {
@@ -52,10 +71,14 @@
     Clock::time_point usefulUntil;
     /// Whether the call may wait for a target with a free slot.
     bool canWait = true;
+    /// Until when it is of use to wait for a target that has asked for a pause.
+    Clock::time_point waitLimit;
     /// The usual latency of the target's response; zero if it is not known.
     Clock::duration expectedLatency{};
     std::function<void(const TargetHandlePtr &, CallNumber)> onSent;
     std::function<void(const TargetHandlePtr &, TargetCallResult)> onEnded;
+    /// Called instead of `onSent` if no target is left for the call while it waits.
+    std::function<void(const TargetAbsence &)> onNoTarget;
 };
 
 /// Returns whether a response cannot be the target's own: it is encoded, or succeeds without a
@@ -66,17 +89,25 @@
 enum class CallState : std::uint8_t {
     Sent,
     Waiting, ///< All targets are busy; the call is sent when one has a free slot.
-    NoTarget, ///< The service has no target that may be picked.
+    NoTarget, ///< The service has no target that may be picked; see `TargetAbsence`.
     NoFreeSlot, ///< All targets are busy and the call may not wait.
 };
 
+struct CallOutcome
+{
+    CallState state;
+    /// Valid with `CallState::NoTarget`.
+    TargetAbsence absence;
+};
+
 /// The targets of each service as this VM sees them, and the calls that wait for them. Belongs to
 /// one thread.
 class TargetDirectory
 {
 public:
     /// `fleetSize` is the number of VMs that share a target's connections.
-    TargetDirectory(asio::io_context &io, const WireAdapter &adapter, std::size_t fleetSize);
+    TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
+                    std::size_t fleetSize);
 
     void apply(const std::vector<RegistryChange> &changes, Clock::time_point now);
     /// Applies the connection limits of a new configuration.
@@ -89,7 +120,7 @@
     /// for no longer than a second. `onSent` is called when the request has been given to a target,
     /// possibly from within `call`. `onEnded` is then called once with the result, never from
     /// within `call`.
-    CallState call(ServiceCall call, Clock::time_point now);
+    CallOutcome call(ServiceCall call, Clock::time_point now);
     /// Records that the response to a call is overdue.
     void onOverdue(const TargetHandlePtr &target, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
@@ -115,7 +146,17 @@
     void delist(const TargetId &id);
     void updateConnectionLimits();
     std::size_t connectionLimit(const RegisteredTarget &target) const;
-    std::vector<TargetHandlePtr> candidates(const ServiceCall &call, Clock::time_point now) const;
+    /// The targets that may get a call, and why the others may not.
+    struct Candidates
+    {
+        std::vector<TargetHandlePtr> handles;
+        TargetAbsence absence;
+    };
+    Candidates candidates(const ServiceCall &call, Clock::time_point now) const;
+    /// Handles what a target says about itself in a response.
+    void onNotice(const std::weak_ptr<TargetHandle> &target, const HttpResponse &response);
+    /// Returns whether a call may wait for the end of the pauses of its targets.
+    static bool mayWaitFor(const TargetAbsence &absence, const ServiceCall &call);
     TargetHandlePtr pick(const std::vector<TargetHandlePtr> &handles, Clock::time_point now);
     bool send(const TargetHandlePtr &target, ServiceCall &call);
     void onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
@@ -130,12 +171,14 @@
 
     asio::io_context &m_io;
     const WireAdapter &m_adapter;
+    Metrics &m_metrics;
     std::size_t m_fleetSize;
     RoutingTablePtr m_routing;
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
-    /// Calls that wait for a free slot, by service.
+    TargetStandings m_standings;
+    /// Calls that wait for a free slot, or for the end of a pause, by service.
     std::unordered_map<std::string, std::vector<ServiceCall>> m_waiting;
     /// Targets that were removed from the registry and still have calls in flight.
     std::vector<TargetHandlePtr> m_retired;
--- a/src/entry/wireadapter.h
+++ b/src/entry/wireadapter.h
@@ -13,6 +13,7 @@
 #include "http/targetchannels.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/targetregistry.h"
+#include "mangoshift/targetstanding.h"
 
 namespace mangoshift {
 
@@ -68,6 +69,8 @@
     EntryHeaderNames headers;
     /// The path on which the balancer checks whether this VM is ready.
     std::string readyPath;
+    /// Decodes what a target says about itself in a response.
+    std::function<TargetNotice(const HttpResponse &)> decodeNotice;
     /// Return the path and query of a request to the store.
     std::function<std::string(const std::string &afterKey)> listingUri;
     std::function<std::string(std::uint64_t revision, std::chrono::milliseconds wait)> watchUri;
--- a/src/http/targetchannel.cpp
+++ b/src/http/targetchannel.cpp
@@ -183,6 +183,8 @@
 {
     HttpResponse response = m_parser.takeResponse();
     m_lastResponseAt = Clock::now();
+    if (m_owner->m_onResponse)
+        m_owner->m_onResponse(response);
     const std::string_view echoedId = response.headers.value(m_owner->m_names.requestId);
     if (!echoedId.empty() && echoedId != m_request->id) {
         ++m_owner->m_counts.unexpectedResponses;
--- a/src/http/targetchannels.cpp
+++ b/src/http/targetchannels.cpp
@@ -103,6 +103,14 @@
     }
 }
 
+void TargetChannels::dropWaiting()
+{
+    TargetCallResult result;
+    result.end = TargetCallResult::End::Unsent;
+    for (WaitingCall &call : std::exchange(m_waiting, {}))
+        asio::post(m_io, [done = std::move(call.done), result] { done(result); });
+}
+
 void TargetChannels::abandon(CallNumber call, std::chrono::milliseconds gracePeriod)
 {
     const auto waiting =
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -101,6 +101,7 @@
 {
 public:
     using Done = std::function<void(TargetCallResult)>;
+    using OnResponse = std::function<void(const HttpResponse &)>;
 
     TargetChannels(asio::io_context &io, asio::ip::tcp::endpoint endpoint, std::string targetId,
                    const TargetHeaderNames &names, ChannelOptions options, ChannelCounts &counts);
@@ -109,6 +110,9 @@
     TargetChannels(const TargetChannels &) = delete;
     TargetChannels &operator=(const TargetChannels &) = delete;
 
+    /// Sets a function that is called with each complete response, even if it belongs to no pending
+    /// call, before the call ends.
+    void setOnResponse(OnResponse onResponse) { m_onResponse = std::move(onResponse); }
     /// Sends a request on an idle or new connection, or queues it for the next idle one. `done` is
     /// called at most once, and never from within `call`. Returns no value and sends nothing if too
     /// many calls are waiting already.
@@ -123,6 +127,8 @@
     /// Closes idle connections now and busy connections when their calls have ended. Waiting calls
     /// are still sent.
     void retire();
+    /// Ends the calls that wait for a connection; they have not been sent.
+    void dropWaiting();
 
     void setMaxConnections(std::size_t connections) { m_options.maxConnections = connections; }
     /// Returns true if no call is waiting or in flight.
@@ -152,6 +158,7 @@
     const TargetHeaderNames &m_names;
     ChannelOptions m_options;
     ChannelCounts &m_counts;
+    OnResponse m_onResponse;
     CallNumber m_lastCallNumber = 0;
     bool m_isRetired = false;
     std::size_t m_connecting = 0;
--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -18,6 +18,8 @@
 using std::chrono::milliseconds;
 
 constexpr int SlowFactor = 5;
+/// What a refusal asks for in mode "pause", in seconds.
+constexpr const char *PauseSeconds = "1.5";
 /// How much of an endless body is written at a time.
 constexpr std::size_t EndlessBytes = 16U << 10U;
 /// The deadline of a request without a valid X-Deadline-Ms header.
@@ -120,7 +122,7 @@
         return;
     }
     const bool isFull = m_options.slots > 0 && m_running.size() >= m_options.slots;
-    if (requestId.empty() || mode == "shed"
+    if (requestId.empty() || mode == "shed" || mode == "pause"
         || (isFull && m_queued.size() >= m_options.queueLimit)) {
         refuse(connection, requestId, requestId.empty() ? 400 : 503);
         return;
@@ -138,6 +140,7 @@
     HttpResponse response;
     response.status = 200;
     response.headers.add("X-Instance-Id", m_id);
+    addLeavingHeader(response);
     std::string bytes;
     appendResponse(bytes, response, false);
     connection->send(bytes);
@@ -150,6 +153,9 @@
     response.status = status;
     if (status != 421)
         response.headers.add("X-Not-Executed", "1");
+    if (status == 503 && mode == "pause")
+        response.headers.add("Retry-After", PauseSeconds);
+    addLeavingHeader(response);
     std::string bytes;
     appendResponse(bytes, response, false);
     connection->send(bytes);
@@ -249,6 +255,12 @@
     }
 }
 
+void Server::addLeavingHeader(HttpResponse &response) const
+{
+    if (mode == "leaving")
+        response.headers.add("Server-Leaving", "1");
+}
+
 std::string Server::formatResponse(const std::string &requestId, int status)
 {
     HttpResponse response;
@@ -256,6 +268,7 @@
     response.headers.add("X-Request-Id", requestId);
     response.headers.add("X-Server-Stamp",
                          m_id + "." + requestId + "." + std::to_string(++m_responses));
+    addLeavingHeader(response);
     response.body = serverRecords(m_service, requestId, m_options.hasPerRequestRecords);
     std::string bytes;
     appendResponse(bytes, response, false);
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -251,6 +251,114 @@
     }
 }
 
+TEST_CASE("A target that says in its responses that it leaves gets no further requests")
+{
+    EntrySystem system;
+    const auto arrivedAt = [&system](const std::string &prefix, const std::string &target) {
+        int arrived = 0;
+        for (int i = 0; i < 40; ++i) {
+            const std::string id = prefix + std::to_string(i);
+            const auto response = system.sendRequest("POST", "/orders/x", id);
+            REQUIRE(response);
+            CHECK(response->status == 200);
+            for (const std::string &ran : system.targetsThatRan(id))
+                arrived += ran == target ? 1 : 0;
+        }
+        return arrived;
+    };
+    system.setTargetMode("i-oa", "leaving");
+    CHECK(arrivedAt("first", "i-oa") == 1);
+    CHECK(eventually(
+        [&system] { return contains(system.log(), "event=target_leaving target=i-oa"); }));
+    system.setTargetMode("i-oa", "ok");
+
+    SECTION("although its entry still says that it is ready")
+    {
+        system.announce(Targets[5], "ready", 5);
+        system.publishConfiguration(4, "s1");
+        REQUIRE(eventually(
+            [&system] { return contains(system.log(), "configuration_adopted version=4"); }));
+        CHECK(arrivedAt("ready", "i-oa") == 0);
+    }
+    SECTION("although its entry is removed and written again")
+    {
+        system.removeEntry(Targets[5]);
+        REQUIRE(eventually(
+            [&system] { return contains(system.log(), "event=target_delisted target=i-oa"); }));
+        system.announce(Targets[5], "ready", 6);
+        REQUIRE(
+            eventually([&system] { return system.registry(1).at("targets").contains("i-oa"); }));
+        CHECK(arrivedAt("again", "i-oa") == 0);
+    }
+    SECTION("and a service of which all targets leave is refused at once, as not run")
+    {
+        system.setTargetMode("i-ob", "leaving");
+        REQUIRE(system.sendRequest("POST", "/orders/x", "last"));
+        const int before = system.arrivalCount();
+        const auto response = system.sendRequest("POST", "/orders/x", "refused");
+        REQUIRE(response);
+        CHECK(response->status == 503);
+        CHECK(response->has_header("Retry-After"));
+        CHECK(system.arrivalCount() == before);
+        CHECK(contains(system.waitForLogLine("refused"), ":not_sent:orders:leaving"));
+    }
+    SECTION("until it starts anew")
+    {
+        system.announce(Targets[5], "ready", 1, 1'800'000'000'000);
+        CHECK(eventually([&] { return arrivedAt("anew", "i-oa") > 0; }));
+    }
+}
+
+TEST_CASE("A target that asks for a pause gets no requests until it is over")
+{
+    EntrySystem system;
+    system.setTargetMode("i-oa", "pause");
+    system.setTargetMode("i-ob", "pause");
+    const int before = system.arrivalCount();
+    const auto first = system.sendRequest("POST", "/orders/x", "first");
+    REQUIRE(first);
+    CHECK(first->status == 503);
+    CHECK(system.arrivalCount() - before == 2);
+    // A request that lasts longer than the pause waits for its end.
+    system.setTargetMode("i-oa", "ok");
+    system.setTargetMode("i-ob", "ok");
+    const auto second = system.sendRequest("POST", "/orders/x", "second");
+    REQUIRE(second);
+    CHECK(second->status == 200);
+    CHECK(system.targetsThatRan("second").size() == 1);
+    CHECK(contains(system.log(), "event=target_pauses target=i-oa"));
+
+    SECTION("and a request that cannot wait so long is refused at once, with the time to return")
+    {
+        system.setTargetMode("i-oa", "pause");
+        system.setTargetMode("i-ob", "pause");
+        REQUIRE(eventually([&system] {
+            const auto response = system.sendRequest("POST", "/orders/x", "third", 1, 600);
+            return response && response->status == 503;
+        }));
+        const int paused = system.arrivalCount();
+        const auto response = system.sendRequest("POST", "/orders/x", "fourth", 1, 600);
+        REQUIRE(response);
+        CHECK(response->status == 503);
+        CHECK(std::stod(response->get_header_value("Retry-After")) > 0.5);
+        CHECK(system.arrivalCount() == paused);
+        const std::string line = system.waitForLogLine("fourth");
+        CHECK(contains(line, "execution=not_run reason=no_replica"));
+        CHECK(contains(line, ":not_sent:orders:paused"));
+    }
+    SECTION("and a query over shards is answered without it at once")
+    {
+        system.setTargetMode("i-s3a", "pause");
+        REQUIRE(system.sendRequest("GET", "/all/x", "asks"));
+        const int paused = system.arrivalCount();
+        const auto response = system.sendRequest("GET", "/all/x", "partial");
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(response->get_header_value("X-Missing-Parts") == "1");
+        CHECK(system.arrivalCount() == paused + 2);
+    }
+}
+
 TEST_CASE("A target whose address was taken over by another target gets no further requests")
 {
     EntrySystem system;
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -132,17 +132,21 @@
         REQUIRE(sendControlRequest("1", "PUT", "/item?op/config", document.dump()));
     }
 
-    /// Writes the registry entry of a target.
-    void announce(const TargetSpec &target, const std::string &state, int sequence)
+    /// Writes the registry entry of a target. `startedAt` is the Unix time of its start, in
+    /// milliseconds, if it is not zero.
+    void announce(const TargetSpec &target, const std::string &state, int sequence,
+                  std::int64_t startedAt = 0)
     {
-        const nlohmann::json entry{{"service", target.service},
-                                   {"address", addressOf(target.lastOctet, TargetPort)},
-                                   {"zone", "a"},
-                                   {"version", "v1"},
-                                   {"slots", 2},
-                                   {"state", state},
-                                   {"warmup_left_ms", 0},
-                                   {"seq", sequence}};
+        nlohmann::json entry{{"service", target.service},
+                             {"address", addressOf(target.lastOctet, TargetPort)},
+                             {"zone", "a"},
+                             {"version", "v1"},
+                             {"slots", 2},
+                             {"state", state},
+                             {"warmup_left_ms", 0},
+                             {"seq", sequence}};
+        if (startedAt != 0)
+            entry["born"] = startedAt;
         REQUIRE(sendControlRequest("1", "PUT", "/item?servers/" + target.id, entry.dump()));
     }
 
@@ -167,14 +171,15 @@
 
     /// Sends a caller's request with the request id `id` to a VM.
     httplib::Result sendRequest(const std::string &method, const std::string &path,
-                                const std::string &id, int vm = 1)
+                                const std::string &id, int vm = 1, int deadlineMs = 3000)
     {
         httplib::Client client(loopbackIp(lastOctetOf(vm)), CallerPort);
         httplib::Request request;
         request.method = method;
         request.path = path;
-        request.headers = {
-            {"Host", "shop.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "3000"}};
+        request.headers = {{"Host", "shop.example"},
+                           {"X-Request-Id", id},
+                           {"X-Deadline-Ms", std::to_string(deadlineMs)}};
         if (method == "POST")
             request.body = "one";
         return client.send(request);
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -250,3 +250,60 @@
           == "/warmup_left_ms: is too large");
     CHECK(targetError([](Json &json) { json["slots"] = 5'000'000'000; }) == "/slots: is too large");
 }
+
+TEST_CASE("A response of a target says whether the target leaves or wants a pause")
+{
+    using Fields = std::vector<HttpHeaders::Entry>;
+    const auto noticeOf = [](int status, const Fields &fields) {
+        HttpResponse response;
+        response.status = status;
+        for (const auto &[name, value] : fields)
+            response.headers.add(name, value);
+        return platform::decodeNotice(response);
+    };
+    const auto pauseOf = [&](const std::string &value) {
+        return noticeOf(503, {{"Retry-After", value}}).pause;
+    };
+
+    SECTION("it leaves only with the value 1, whatever the status")
+    {
+        for (const int status : {200, 404, 500, 503, 504})
+            CHECK(noticeOf(status, {{"server-leaving", " 1 "}}).isLeaving);
+        for (const std::string value : {"", "0", "true", "11", "1, 1"})
+            CHECK_FALSE(noticeOf(200, {{"Server-Leaving", value}}).isLeaving);
+        CHECK(noticeOf(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}).isLeaving);
+    }
+    SECTION("it pauses for a number of seconds, with fractions")
+    {
+        CHECK(pauseOf("4") == 4s);
+        CHECK(pauseOf("0.25") == 250ms);
+        CHECK(pauseOf("0.0001") == 1ms);
+        CHECK(pauseOf("0") == 0ms);
+    }
+    SECTION("it does not pause for a value that is negative or no number")
+    {
+        for (const std::string value : {"", "-1", "-0.5", "soon", "4s", "4 5", "nan", "inf", "1e3",
+                                        "0x4", "Fri, 31 Dec 1999 23:59:59 GMT"})
+            CHECK(pauseOf(value) == 0ms);
+    }
+    SECTION("it pauses for an hour at most")
+    {
+        CHECK(pauseOf("3600.5") == 1h);
+        CHECK(pauseOf(std::string(400, '9')) == 1h);
+    }
+    SECTION("of several values the longest valid one counts")
+    {
+        CHECK(
+            noticeOf(503, {{"Retry-After", "1"}, {"Retry-After", "2"}, {"Retry-After", "x"}}).pause
+            == 2s);
+    }
+    SECTION("it pauses only if it has turned the request away")
+    {
+        for (const int status : {200, 429, 500, 502})
+            CHECK(noticeOf(status, {{"Retry-After", "2"}}).pause == 0ms);
+    }
+    SECTION("a response from another target at its address says nothing about it")
+    {
+        CHECK(noticeOf(421, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}) == TargetNotice());
+    }
+}
