Soak and measure what targets say about themselves

The soak plans targets that say they leave, that ask for a pause and whose answers never end, at times when nothing else affects their group, from random numbers of their own, so that the rest of each seed's plan stays as it was.

--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -18,8 +18,8 @@
 using std::chrono::milliseconds;
 
 constexpr int SlowFactor = 5;
-/// What a refusal asks for in mode "pause", in seconds.
-constexpr const char *PauseSeconds = "1.5";
+/// What a refusal asks for in mode "pause".
+constexpr milliseconds PauseTime{1500};
 /// How much of an endless body is written at a time.
 constexpr std::size_t EndlessBytes = 16U << 10U;
 /// The deadline of a request without a valid X-Deadline-Ms header.
@@ -148,13 +148,17 @@
 
 void Server::refuse(const ConnectionPtr &connection, const std::string &requestId, int status)
 {
-    recordEvent("refused", requestId, std::to_string(status));
+    const bool asksForPause = status == 503 && mode == "pause";
+    recordEvent("refused", requestId,
+                std::to_string(status)
+                    + (asksForPause ? " pause_ms=" + std::to_string(PauseTime.count()) : ""));
     HttpResponse response;
     response.status = status;
     if (status != 421)
         response.headers.add("X-Not-Executed", "1");
-    if (status == 503 && mode == "pause")
-        response.headers.add("Retry-After", PauseSeconds);
+    if (asksForPause)
+        response.headers.add("Retry-After",
+                             std::to_string(std::chrono::duration<double>(PauseTime).count()));
     addLeavingHeader(response);
     std::string bytes;
     appendResponse(bytes, response, false);
--- a/test/soak/evidence.h
+++ b/test/soak/evidence.h
@@ -57,6 +57,8 @@
     /// The stamps of the targets whose parts a fan-out answer contains, separated by commas.
     std::string partStamps;
     std::string missingParts;
+    /// Whether the response says that the target that sent it leaves.
+    bool isTargetLeaving = false;
     std::string body;
 };
 
@@ -70,7 +72,9 @@
     std::string target;
     std::string service;
     std::string request;
-    std::string what; ///< For an arrival, method, path and body of the request.
+    /// For an arrival, method, path and body of the request; for a refusal, its status and, if it
+    /// asks for a pause, `pause_ms=` and the length of that.
+    std::string what;
 };
 
 /// A period in which a fault or a planned change affects a part of the system.
--- a/test/soak/loadgenerator.cpp
+++ b/test/soak/loadgenerator.cpp
@@ -179,6 +179,7 @@
                          record.stamp = response.headers.value("x-server-stamp");
                          record.partStamps = response.headers.value("x-part-stamps");
                          record.missingParts = response.headers.value("x-missing-parts");
+                         record.isTargetLeaving = response.headers.contains("server-leaving");
                          record.body = std::move(response.body);
                          onEnded(connection, std::move(record),
                                  outcome == Outcome::Responded && connection->isOpen());
--- a/test/soak/plan.cpp
+++ b/test/soak/plan.cpp
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <optional>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace mangoshift::soak {
 
@@ -27,6 +29,7 @@
 /// How long the address of a stopped target stays unused at least.
 constexpr milliseconds AddressReuseDelay{2000};
 constexpr double PeakLoadFactor = 5.0;
+constexpr std::uint64_t SelfReportSeed = 0x5e1f;
 
 /// Draws random faults and turns them into steps. A VM, a group of targets or the store has at most
 /// one fault at a time, but any number of them can have one.
@@ -71,6 +74,7 @@
                 faultPlanners[static_cast<std::size_t>(drawInt(0, faultPlanners.size() - 1))];
             (this->*planFault)(at);
         }
+        planSelfReports();
         std::stable_sort(m_plan.steps.begin(), m_plan.steps.end(),
                          [](const Step &a, const Step &b) { return a.at < b.at; });
         return std::move(m_plan);
@@ -100,6 +104,14 @@
         busyUntil = to;
         return true;
     }
+    bool tryReserveGroup(int group, milliseconds from, milliseconds to)
+    {
+        const auto index = static_cast<std::size_t>(group);
+        if (!tryReserve(m_groupBusyUntil[index], from, to))
+            return false;
+        m_groupFaults[index].emplace_back(from, to);
+        return true;
+    }
     std::optional<int> tryReserveVm(milliseconds from, milliseconds to)
     {
         const int vm = drawInt(0, static_cast<std::size_t>(m_shape.vms) - 1);
@@ -227,7 +239,7 @@
     {
         const int group = drawInt(0, TargetGroups - 1);
         const milliseconds end = at + EntryExpiry + drawTime(100, 1500);
-        if (!tryReserve(m_groupBusyUntil[static_cast<std::size_t>(group)], at, end))
+        if (!tryReserveGroup(group, at, end))
             return;
         const std::size_t id =
             addFault("targets killed", {makeDisturbance(Subject::Targets, group)});
@@ -239,7 +251,7 @@
     {
         const int group = drawInt(0, TargetGroups - 1);
         const milliseconds end = at + drawTime(100, 2500);
-        if (!tryReserve(m_groupBusyUntil[static_cast<std::size_t>(group)], at, end))
+        if (!tryReserveGroup(group, at, end))
             return;
         const std::size_t id =
             addFault("targets frozen", {makeDisturbance(Subject::Targets, group)});
@@ -253,7 +265,7 @@
                                            State::BlockedFromEndpoint, State::Cut, State::Slow};
         const int group = drawInt(0, TargetGroups - 1);
         const milliseconds end = at + drawTime(100, 3000);
-        if (!tryReserve(m_groupBusyUntil[static_cast<std::size_t>(group)], at, end))
+        if (!tryReserveGroup(group, at, end))
             return;
         const State state = states[static_cast<std::size_t>(drawInt(0, states.size() - 1))];
         const std::size_t id =
@@ -265,8 +277,7 @@
     void silenceTargetConnections(milliseconds at)
     {
         const int group = drawInt(0, TargetGroups - 1);
-        if (!tryReserve(m_groupBusyUntil[static_cast<std::size_t>(group)], at,
-                        at + milliseconds(1)))
+        if (!tryReserveGroup(group, at, at + milliseconds(1)))
             return;
         addStep(addFault("target connections silenced", {makeDisturbance(Subject::Targets, group)}),
                 at, SilenceTargetConnections{group});
@@ -285,7 +296,7 @@
         const int group = drawInt(0, TargetGroups - 1);
         const int target = drawInt(0, static_cast<std::size_t>(targetsPerGroup()) - 1);
         const milliseconds end = at + drawTime(500, 4000);
-        if (!tryReserve(m_groupBusyUntil[static_cast<std::size_t>(group)], at, end))
+        if (!tryReserveGroup(group, at, end))
             return;
         const std::string &mode = modes[static_cast<std::size_t>(drawInt(0, modes.size() - 1))];
         const std::size_t id = addFault("target set to mode " + mode, {});
@@ -299,7 +310,7 @@
         const int target = drawInt(0, static_cast<std::size_t>(targetsPerGroup()) - 1);
         const milliseconds stopTime = at + DrainTime + drawTime(200, 2000);
         const milliseconds end = stopTime + AddressReuseDelay + drawTime(0, 500);
-        if (!tryReserve(m_groupBusyUntil[static_cast<std::size_t>(group)], at, end))
+        if (!tryReserveGroup(group, at, end))
             return;
         const std::size_t id = addFault("target replaced", {});
         addStep(id, at, DrainTarget{group, target});
@@ -307,6 +318,44 @@
         addStep(id, end, ReplaceTarget{group, target, drawInt(0, 2) == 0});
     }
 
+    /// Plans targets that say in their responses that they leave, that ask for a pause, or whose
+    /// responses never end, at times when nothing else affects their group. Uses random numbers of
+    /// its own, so that the rest of a seed's plan does not depend on it.
+    void planSelfReports()
+    {
+        static const std::array<std::string, 4> modes{"leaving", "pause", "endless-head",
+                                                      "endless-body"};
+        std::mt19937_64 random(m_random() ^ SelfReportSeed);
+        const auto draw = [&random](std::size_t lowest, std::size_t highest) {
+            return static_cast<int>(lowest + random() % (highest - lowest + 1));
+        };
+        for (milliseconds at = FirstFault; at < m_length; at += milliseconds(draw(300, 1700))) {
+            const auto group = static_cast<std::size_t>(draw(0, TargetGroups - 1));
+            const int target = draw(0, static_cast<std::size_t>(targetsPerGroup()) - 1);
+            const std::string &mode = modes[static_cast<std::size_t>(draw(0, modes.size() - 1))];
+            const bool isLeaving = mode == "leaving";
+            const milliseconds stopTime = at + DrainTime + milliseconds(draw(500, 2500));
+            const milliseconds end =
+                isLeaving ? stopTime + AddressReuseDelay : at + milliseconds(draw(500, 4000));
+            const auto overlaps = [&](const std::pair<milliseconds, milliseconds> &fault) {
+                return fault.first <= end && at <= fault.second;
+            };
+            if (end > m_length
+                || std::any_of(m_groupFaults[group].begin(), m_groupFaults[group].end(), overlaps))
+                continue;
+            m_groupFaults[group].emplace_back(at, end);
+            const std::size_t id = addFault("target set to mode " + mode, {});
+            addStep(id, at, SetTargetMode{static_cast<int>(group), target, mode});
+            if (isLeaving) {
+                // Its entry says that it is ready until it ends.
+                addStep(id, stopTime, StopTarget{static_cast<int>(group), target});
+                addStep(id, end, ReplaceTarget{static_cast<int>(group), target, false});
+            } else {
+                addStep(id, end, SetTargetMode{static_cast<int>(group), target, "ok"});
+            }
+        }
+    }
+
     void publish(milliseconds at)
     {
         if (!tryReserve(m_storeBusyUntil, at, at + milliseconds(1)))
@@ -347,6 +396,8 @@
     Plan m_plan;
     std::vector<milliseconds> m_vmBusyUntil;
     std::array<milliseconds, TargetGroups> m_groupBusyUntil{};
+    /// The times at which faults affect each group.
+    std::array<std::vector<std::pair<milliseconds, milliseconds>>, TargetGroups> m_groupFaults;
     milliseconds m_storeBusyUntil{0};
     milliseconds m_loadBusyUntil{0};
 };
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds TimingSlack{500};
 /// Requests that may arrive at a target more than `TimingSlack` after their caller disconnected.
 constexpr std::size_t MaxArrivalsAfterDisconnect = 3;
+/// Requests of one VM that may reach a target within a pause that it has asked for.
+constexpr std::size_t MaxArrivalsInPause = 2;
 /// Requests that VMs may drop without a response while undisturbed, over the whole run.
 constexpr std::size_t MaxDropped = 3;
 /// Timeouts are violated if at least this many requests are late, and these are more than
@@ -294,6 +296,69 @@
     }
 }
 
+/// Checks that a VM sends nothing to a target after it has passed on that the target leaves.
+/// Nothing but a restart of the VM excuses it, as it needs nobody else to know.
+void checkLeavingTargets(const EvidenceIndex &index, Violations &violations)
+{
+    const Evidence &evidence = index.evidence();
+    for (const CallerRecord &told : evidence.callers) {
+        const auto stamp = parseStamp(told.stamp);
+        if (!told.isTargetLeaving || !stamp)
+            continue;
+        for (const TargetEvent &event : evidence.targetEvents) {
+            if (event.kind != Kind::Ran || event.target != stamp->target)
+                continue;
+            const CallerRecord *record = index.findCaller(event.request);
+            if (record == nullptr || record->vm != told.vm
+                || record->sentAt <= told.endedAt + evidence.bounds.drain
+                || !index.incarnationOf(record->vm, told.sentAt, event.at))
+                continue;
+            violations.push_back({"a target that says it leaves receives no new requests",
+                                  describe(*record) + " ran at " + event.target});
+            break;
+        }
+    }
+}
+
+/// Returns the pause that a refusal asks for; zero if it asks for none.
+milliseconds pauseOf(const TargetEvent &event)
+{
+    static const std::string key = "pause_ms=";
+    const std::size_t at = event.what.find(key);
+    if (event.kind != Kind::Refused || at == std::string::npos)
+        return milliseconds(0);
+    return milliseconds(std::strtol(event.what.c_str() + at + key.size(), nullptr, 10));
+}
+
+/// Checks that a VM leaves a target alone that has asked it for a pause.
+void checkPauses(const EvidenceIndex &index, Violations &violations)
+{
+    const Evidence &evidence = index.evidence();
+    for (const TargetEvent &refusal : evidence.targetEvents) {
+        const milliseconds pause = pauseOf(refusal);
+        const CallerRecord *refused = index.findCaller(refusal.request);
+        if (pause.count() == 0 || refused == nullptr)
+            continue;
+        std::size_t arrivals = 0;
+        std::string first;
+        for (const TargetEvent &event : evidence.targetEvents) {
+            if (event.kind != Kind::Arrived || event.target != refusal.target
+                || event.at <= refusal.at + TimingSlack || event.at >= refusal.at + pause)
+                continue;
+            const CallerRecord *record = index.findCaller(event.request);
+            if (record == nullptr || record->vm != refused->vm
+                || !index.isVmUndisturbed(*record, refusal.at, event.at))
+                continue;
+            ++arrivals;
+            first = first.empty() ? describe(*record) : first;
+        }
+        if (arrivals > MaxArrivalsInPause)
+            violations.push_back({"a target that asks for a pause is left alone",
+                                  std::to_string(arrivals) + " requests reached " + refusal.target
+                                      + ", the first: " + first});
+    }
+}
+
 /// Traffic of one service in ascending order: when callers sent the requests that arrived there,
 /// and the arrivals of each request after its first one.
 struct ServiceTraffic
@@ -453,10 +518,12 @@
     checkRetryBudget(index, violations);
     checkDroppedRequests(index, violations);
     checkRecovery(index, violations);
+    checkLeavingTargets(index, violations);
     if (strictness == Strictness::Safety)
         return violations;
     checkConfigApplied(index, handled, violations);
     checkDepartures(index, violations);
+    checkPauses(index, violations);
     checkTimeouts(index, violations);
     checkAbandonedRequests(index, violations);
     return violations;
--- a/test/unit/soakviolations_test.cpp
+++ b/test/unit/soakviolations_test.cpp
@@ -261,6 +261,42 @@
         CHECK(builder.violatedInvariants()
               == Invariants{"a draining target receives no new requests after its drain time"});
     }
+    SECTION("a target that says it leaves receives no requests from the VM that has passed it on")
+    {
+        builder.addRequest(RouteKind::Moving, "r2", Start, {"i-m"}).isTargetLeaving = true;
+        builder.addRequest(RouteKind::Moving, "r3", Start + 3s, {"i-m"});
+        builder.addRequest(RouteKind::Moving, "r4", Start + 4s, {"i-m"}).vm = 1;
+        CHECK(builder.violatedInvariants().empty());
+        builder.addRequest(RouteKind::Moving, "r5", Start + 4s, {"i-m"});
+        CHECK(builder.violatedInvariants(Strictness::Safety)
+              == Invariants{"a target that says it leaves receives no new requests"});
+        AND_WHEN("the VM was restarted in between")
+        {
+            builder.evidence().vmStarts[0].push_back(Start + 3500ms);
+            CHECK(builder.violatedInvariants().empty());
+        }
+    }
+    SECTION("a target that asks for a pause receives at most two more requests")
+    {
+        builder.addRequest(RouteKind::Moving, "r2", Start, {}).status = 503;
+        builder.addEvent(TargetEvent::Kind::Arrived, "i-m", "r2", Start, "GET /x ");
+        builder.addEvent(TargetEvent::Kind::Refused, "i-m", "r2", Start, "503 pause_ms=4000");
+        builder.addRequest(RouteKind::Moving, "r3", Start + 300ms, {"i-m"});
+        builder.addRequest(RouteKind::Moving, "r4", Start + 1s, {"i-m"});
+        builder.addRequest(RouteKind::Moving, "r5", Start + 2s, {"i-m"});
+        builder.addRequest(RouteKind::Moving, "r6", Start + 4s, {"i-m"});
+        builder.addRequest(RouteKind::Moving, "r7", Start + 3s, {"i-m"}).vm = 1;
+        CHECK(builder.violatedInvariants().empty());
+        builder.addRequest(RouteKind::Moving, "r8", Start + 3s, {"i-m"});
+        CHECK(builder.violatedInvariants()
+              == Invariants{"a target that asks for a pause is left alone"});
+        AND_WHEN("the VM was frozen meanwhile")
+        {
+            builder.evidence().disturbances = {
+                {Disturbance::Subject::Vm, 0, false, false, "frozen", Start + 1s, Start + 2s}};
+            CHECK(builder.violatedInvariants().empty());
+        }
+    }
     SECTION("requests get their response by their timeout")
     {
         for (int i = 0; i < 8; ++i) {
