Refuse a forwarded request at once while all targets fail and are probed

Cause: a forwarded request waited for a slot of targets of which each had left several requests unanswered and was busy with another one; it mostly ended at its deadline.

Change: a target that fails and has a probe in flight takes no call that may leave it out; if none is left, the request is refused with the trace not_sent:...:failing.

Tried and not kept: the same for parts of queries over shards.

Test: a system test with two silent targets; passed, with the service served again afterwards.

--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -47,6 +47,8 @@
     bool isUnresponsive() const { return m_consecutiveFailures > 0; }
     /// Returns true if several consecutive requests got no response; one may be due to a pause.
     bool isFailing() const;
+    /// Returns true while the target is failing and a request that probes it is in flight.
+    bool isEjected() const { return isFailing() && !hasCapacity(); }
     /// Returns the relative cost of one more request; lower is better.
     double cost(Clock::time_point now) const;
     std::uint32_t inFlight() const { return m_inFlight; }
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -53,7 +53,8 @@
     {"no_target", "no other target is known"},
     {"no_room", "no target has capacity"},
     {"leaving", "each target that is left has said that it leaves"},
-    {"paused", "each target that is left has asked for a pause that is too long for it"}};
+    {"paused", "each target that is left has asked for a pause that is too long for it"},
+    {"failing", "each target that is left fails and is being probed by another request"}};
 
 const std::map<std::string, std::string> ExecutionTexts{
     {"not_run", "It has not run anywhere."},
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -246,6 +246,7 @@
         if (const auto self = weak.lock())
             self->onReply(index, target, std::move(reply));
     };
+    call.leavesOutEjected = fanOut() == nullptr;
     call.waitLimit =
         fanOut() != nullptr ? m_partialAnswerFrom : m_request.deadline - m_expectedLatency;
     call.onNoTarget = [weak = weak_from_this(), action](const TargetAbsence &absence) {
@@ -273,7 +274,7 @@
 Verdict RequestExchange::noTargetVerdict(const Part &part, const TargetAbsence &absence,
                                          Clock::time_point now)
 {
-    static constexpr std::array causeNames{"no_target", "leaving", "paused"};
+    static constexpr std::array causeNames{"no_target", "leaving", "failing", "paused"};
     addToTrace("not_sent", part.service, {},
                causeNames.at(static_cast<std::size_t>(absence.cause)));
     const Clock::duration delay =
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -166,12 +166,13 @@
                 != call.triedTargets.end())
             continue;
         if (handle->standing->isLeaving()) {
-            if (absence.cause == TargetAbsence::Cause::None)
-                absence.cause = TargetAbsence::Cause::Leaving;
+            absence.cause = std::max(absence.cause, TargetAbsence::Cause::Leaving);
         } else if (!handle->standing->mayReceive(now)) {
-            absence.cause = TargetAbsence::Cause::Paused;
+            absence.cause = std::max(absence.cause, TargetAbsence::Cause::Paused);
             absence.endsAt = std::min(absence.endsAt.value_or(Clock::time_point::max()),
                                       handle->standing->opensAt());
+        } else if (call.leavesOutEjected && handle->load.isEjected()) {
+            absence.cause = std::max(absence.cause, TargetAbsence::Cause::Failing);
         } else if (!handle->info.isDraining) {
             found.handles.push_back(handle);
         } else if (now - handle->drainingSince < DrainingPickTime) {
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -49,10 +49,12 @@
 /// Why a call cannot be sent to any target of its service.
 struct TargetAbsence
 {
+    /// In ascending order of what is reported if several apply.
     enum class Cause : std::uint8_t {
         None, ///< No target is known, or each one has been tried.
-        Leaving, ///< At least one target has said that it leaves; no other is left.
-        Paused, ///< At least one target has asked for a pause that is too long for the call.
+        Leaving, ///< A target has said that it leaves.
+        Failing, ///< A target fails, and another request is probing it.
+        Paused, ///< A target has asked for a pause that is too long for the call.
     };
     Cause cause = Cause::None;
     /// When the first target may get requests again; no value if that is not known.
@@ -71,7 +73,10 @@
     Clock::time_point usefulUntil;
     /// Whether the call may wait for a target with a free slot.
     bool canWait = true;
-    /// Until when it is of use to wait for a target that has asked for a pause.
+    /// Whether failing targets that are being probed are left out. A part of a fan-out does not
+    /// leave them out: without it the other parts may be too few for an answer.
+    bool leavesOutEjected = false;
+    /// Until when it is of use to wait for a target that has asked for a pause or is left out.
     Clock::time_point waitLimit;
     /// The usual latency of the target's response; zero if it is not known.
     Clock::duration expectedLatency{};
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <future>
 
 #include <catch2/catch.hpp>
 #include <httplib.h>
@@ -359,6 +360,36 @@
     }
 }
 
+TEST_CASE("A request is refused at once while each target fails and is being probed")
+{
+    EntrySystem system;
+    for (const std::string target : {"i-oa", "i-ob"})
+        system.setTargetMode(target, "mute");
+    // Two unanswered requests in a row make a target fail, and those in flight probe both of them.
+    const auto probes = std::async(std::launch::async, [&system] {
+        for (int i = 0; i < 3; ++i)
+            system.sendOrdersAtOnce(8, "probe-" + std::to_string(i) + "-");
+    });
+    int attempts = 0;
+    CHECK(eventually([&] {
+        const std::string id = "refused-" + std::to_string(++attempts);
+        const auto response = system.sendRequest("POST", "/orders/x", id, 1, 400);
+        return response && response->status == 503 && system.targetsThatRan(id).empty()
+            && contains(system.waitForLogLine(id), ":not_sent:orders:failing");
+    }));
+    probes.wait();
+
+    SECTION("and served again when they respond")
+    {
+        for (const std::string target : {"i-oa", "i-ob"})
+            system.setTargetMode(target, "ok");
+        CHECK(eventually([&system] {
+            const auto response = system.sendRequest("POST", "/orders/x", "served");
+            return response && response->status == 200;
+        }));
+    }
+}
+
 TEST_CASE("A target whose address was taken over by another target gets no further requests")
 {
     EntrySystem system;
