Send the configuration to other VMs by its version

Cause: a configuration is put in force as soon as its page has been read, while the VM's revision stays that of before the listing. Sent to another VM together with that revision, it was recorded there under it, and not sent on to the VMs that followed that one with the same revision. Evidence: in the trace vm5 sends version 3 with revision 155, vm8 answers four pulls after 155 with revision 163 and no configuration.

Change: a pull states the version that the VM has; the reply contains the configuration if it is newer, and a held pull is answered when it is. A pull of an earlier release, without the version, gets the configuration with each newer revision.

--- a/include/mangoshift/changelog.h
+++ b/include/mangoshift/changelog.h
@@ -11,8 +11,8 @@
 
 namespace mangoshift {
 
-/// Records the store revision at which each target and the configuration last changed, so that
-/// another VM can be sent only the changes that it lacks.
+/// Records the store revision at which each target last changed, so that another VM can be sent
+/// only the changes that it lacks.
 ///
 /// Keeps one revision for each target that was ever listed, up to a limit. Beyond the limit the
 /// oldest entries are dropped; a VM that requests changes from before them gets the whole state.
@@ -30,18 +30,11 @@
     void onGap(std::uint64_t from, std::uint64_t to);
     /// Records that a target was listed, changed or removed at `revision`.
     void onTargetChange(const TargetId &id, std::uint64_t revision);
-    /// Records that the configuration changed at `revision`.
-    void onConfigurationChange(std::uint64_t revision) { m_configurationRevision = revision; }
 
     /// Returns whether the log holds every change after `revision`.
     bool covers(std::uint64_t revision) const;
     /// Returns the targets that changed after `revision`, each once.
     std::vector<TargetId> targetsChangedAfter(std::uint64_t revision) const;
-    /// Returns whether the configuration changed after `revision`.
-    bool hasConfigurationChangedAfter(std::uint64_t revision) const
-    {
-        return m_configurationRevision > revision;
-    }
 
 private:
     /// The revisions between `from` and `to`, without these two, are not covered.
@@ -53,7 +46,6 @@
 
     std::size_t m_limit;
     std::map<TargetId, std::uint64_t> m_targetRevisions;
-    std::uint64_t m_configurationRevision = 0;
     /// The log holds every change after this revision, and may lack changes up to and including it.
     std::uint64_t m_coveredAfter = std::numeric_limits<std::uint64_t>::max();
     /// In the order of their revisions.
--- a/src/core/changelog.cpp
+++ b/src/core/changelog.cpp
@@ -19,7 +19,6 @@
 void ChangeLog::resetTo(std::uint64_t revision)
 {
     m_targetRevisions.clear();
-    m_configurationRevision = 0;
     m_coveredAfter = revision;
     m_gaps.clear();
 }
--- a/src/entry/pendingstatepulls.cpp
+++ b/src/entry/pendingstatepulls.cpp
@@ -29,10 +29,10 @@
     armTimer();
 }
 
-void PendingStatePulls::onRevision(std::uint64_t revision)
+void PendingStatePulls::onState(const KnownState &state)
 {
-    const auto canReply = [revision](const PendingStatePull &each) {
-        return each.afterRevision < revision;
+    const auto canReply = [&state](const PendingStatePull &each) {
+        return hasMore(state, each.known);
     };
     for (const PendingStatePull &pull : m_pulls)
         if (canReply(pull))
--- a/src/entry/pendingstatepulls.h
+++ b/src/entry/pendingstatepulls.h
@@ -7,6 +7,7 @@
 #include <asio/basic_waitable_timer.hpp>
 
 #include "duties/messages.h"
+#include "entry/statewire.h"
 
 namespace mangoshift {
 
@@ -15,7 +16,7 @@
 {
     LinkId link = LocalLink;
     std::uint64_t sequence = 0;
-    std::uint64_t afterRevision = 0;
+    KnownState known;
     Clock::time_point replyBy;
 };
 
@@ -30,8 +31,8 @@
 
     /// Holds a pull. If the limit is reached, the oldest pull is replied to at once.
     void add(const PendingStatePull &pull);
-    /// Replies to all pulls whose `afterRevision` is less than `revision`.
-    void onRevision(std::uint64_t revision);
+    /// Replies to all pulls of VMs that know less than `state`.
+    void onState(const KnownState &state);
     void onLinkLost(LinkId link);
     std::size_t size() const { return m_pulls.size(); }
 
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -243,8 +243,11 @@
         else
             applyEntry(entry, m_follower.listingRevision());
     }
-    if (m_follower.isListing())
+    if (m_follower.isListing()) {
+        // The configuration is in force already.
+        replyToPulls();
         return;
+    }
     const bool isFirst = !m_storeView.hasState();
     publish(m_storeView.replaceAll(std::exchange(m_listedTargets, {}), before,
                                    m_follower.revision(), Clock::now()));
@@ -294,7 +297,7 @@
     std::visit(
         Overloaded{
             [&](const RoutingDocument &document) {
-                applyConfiguration(document, entry.configuration, revision, FromStore{});
+                applyConfiguration(document, entry.configuration, FromStore{});
             },
             [&](const RegisteredTarget &target) { publish(m_storeView.put(target, revision)); },
             [&](const UnreadableEntry &unreadable) {
@@ -312,9 +315,9 @@
 }
 
 void RegistryDuty::applyConfiguration(const RoutingDocument &document, const std::string &bytes,
-                                      std::uint64_t revision, const StoreSource &source)
+                                      const StoreSource &source)
 {
-    if (!m_storeView.adopt(document, bytes, revision))
+    if (!m_storeView.adopt(document, bytes))
         return;
     logEvent(LogLevel::Info, "configuration_adopted",
              {{"version", std::to_string(document.version)},
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -99,13 +99,14 @@
 
     void applyEntry(const StoreEntry &entry, std::uint64_t revision);
     void applyConfiguration(const RoutingDocument &document, const std::string &bytes,
-                            std::uint64_t revision, const StoreSource &source);
+                            const StoreSource &source);
     /// Records the source that state was last received from, and logs when it changes.
     void setLastSource(const StoreSource &source);
     void publish(std::vector<RegistryChange> changes);
     void armExpiry();
     void replyToPull(const PendingStatePull &pull);
-    /// Replies to the pending pulls that the current revision has changes for.
+    KnownState knownState() const;
+    /// Replies to the pending pulls that this VM has changes for.
     void replyToPulls();
     std::string stateJson() const;
 
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -20,11 +20,17 @@
     if (const wire::StatePullT *pull = message.frame->body.AsStatePull()) {
         const auto wait = std::min(milliseconds(pull->wait_ms), StateFollower::FollowerWait);
         const Clock::time_point now = Clock::now();
+        // A VM of an earlier release is sent the configuration whenever it gets a newer revision.
+        const KnownState state = knownState();
+        const ConfigVersion assumedVersion =
+            pull->after_revision < state.revision ? 0 : state.configurationVersion;
+        const KnownState known{pull->after_revision,
+                               pull->configuration_version.value_or(assumedVersion)};
         // The reply is sent before `wait` has passed if this VM's state becomes stale first.
         const PendingStatePull pendingPull{
-            message.link, pull->sequence, pull->after_revision,
+            message.link, pull->sequence, known,
             std::clamp(m_storeView.lastContact() + StateFollower::MaxStateAge, now, now + wait)};
-        if (m_storeView.hasState() && pull->after_revision < m_follower.revision())
+        if (m_storeView.hasState() && hasMore(state, known))
             replyToPull(pendingPull);
         else
             m_pendingPulls.add(pendingPull);
@@ -51,6 +57,7 @@
     wire::StatePullT request;
     request.sequence = ++m_pullSequence;
     request.after_revision = pull.revision;
+    request.configuration_version = m_storeView.configurationVersion();
     request.wait_ms = static_cast<std::uint32_t>(pull.wait.count());
     m_pullTimer.expires_after(pull.timeout);
     // The sequence is checked because a handler that is queued already cannot be cancelled.
@@ -114,7 +121,7 @@
     if (!state.configuration.empty()) {
         const auto document = m_adapter.parseConfiguration(state.configuration);
         if (document)
-            applyConfiguration(*document, state.configuration, state.revision, source);
+            applyConfiguration(*document, state.configuration, source);
         else
             logEvent(LogLevel::Warning, "entry_rejected",
                      {{"key", "configuration"}, {"why", document.error()}});
@@ -127,15 +134,20 @@
 void RegistryDuty::replyToPull(const PendingStatePull &pendingPull)
 {
     m_sinks.sendOnLink(pendingPull.link,
-                       makeFrame(toWire(m_storeView.stateAfter(pendingPull.afterRevision,
+                       makeFrame(toWire(m_storeView.stateAfter(pendingPull.known,
                                                                m_follower.revision(), Clock::now()),
                                         pendingPull.sequence)));
 }
 
+KnownState RegistryDuty::knownState() const
+{
+    return {m_follower.revision(), m_storeView.configurationVersion()};
+}
+
 void RegistryDuty::replyToPulls()
 {
     if (m_storeView.hasState())
-        m_pendingPulls.onRevision(m_follower.revision());
+        m_pendingPulls.onState(knownState());
 }
 
 } // namespace mangoshift
--- a/src/entry/statewire.h
+++ b/src/entry/statewire.h
@@ -11,6 +11,21 @@
 
 namespace mangoshift {
 
+/// What a VM already has of the state of the store. The configuration is known by its version, as a
+/// VM puts one in force as soon as it has it, before the rest of a listing is complete.
+struct KnownState
+{
+    std::uint64_t revision = 0;
+    std::uint64_t configurationVersion = 0;
+};
+
+/// Returns whether `state` holds anything that a VM with `known` lacks.
+inline bool hasMore(const KnownState &state, const KnownState &known)
+{
+    return state.revision > known.revision
+        || state.configurationVersion > known.configurationVersion;
+}
+
 /// The state of the store as one VM sends it to another.
 struct PeerState
 {
--- a/src/entry/storeview.cpp
+++ b/src/entry/storeview.cpp
@@ -115,18 +115,16 @@
         m_registry.onStoreRecovered(now);
 }
 
-bool StoreView::adopt(const RoutingDocument &document, const std::string &bytes,
-                      std::uint64_t revision)
+bool StoreView::adopt(const RoutingDocument &document, const std::string &bytes)
 {
     if (m_routing && document.version <= m_routing->version())
         return false;
     m_routing = std::make_shared<const RoutingTable>(document);
     m_configurationBytes = bytes;
-    m_changes.onConfigurationChange(revision);
     return true;
 }
 
-PeerState StoreView::stateAfter(std::uint64_t after, std::uint64_t revision,
+PeerState StoreView::stateAfter(const KnownState &known, std::uint64_t revision,
                                 Clock::time_point now) const
 {
     PeerState state;
@@ -135,8 +133,8 @@
     state.revision = revision;
     state.age = clampToZero(now - m_lastContact);
     state.removalsHeldFor = clampToZero(m_registry.removalsHeldUntil() - now);
-    state.isComplete = !m_changes.covers(after);
-    if (state.isComplete || m_changes.hasConfigurationChangedAfter(after))
+    state.isComplete = !m_changes.covers(known.revision);
+    if (configurationVersion() > known.configurationVersion)
         state.configuration = m_configurationBytes;
     const auto &targets = m_registry.targets();
     if (state.isComplete) {
@@ -145,7 +143,7 @@
                 state.targets.push_back(target);
         return state;
     }
-    for (const TargetId &id : m_changes.targetsChangedAfter(after)) {
+    for (const TargetId &id : m_changes.targetsChangedAfter(known.revision)) {
         const auto it = targets.find(id);
         if (it != targets.end() && !m_registry.isRemovalHeld(id))
             state.targets.push_back(it->second);
@@ -158,7 +156,7 @@
 nlohmann::json StoreView::stateJson() const
 {
     nlohmann::json state;
-    state["config_version"] = m_routing ? m_routing->version() : 0;
+    state["config_version"] = configurationVersion();
     state["held_removals"] = m_registry.heldRemovals();
     for (const auto &[id, target] : m_registry.targets())
         state["targets"][id] = {{"service", target.service},
--- a/src/entry/storeview.h
+++ b/src/entry/storeview.h
@@ -48,7 +48,7 @@
 
     /// Puts a configuration in force if its version is greater than that of the last. `bytes` is
     /// the form in which the store holds it. Returns whether the configuration was put in force.
-    bool adopt(const RoutingDocument &document, const std::string &bytes, std::uint64_t revision);
+    bool adopt(const RoutingDocument &document, const std::string &bytes);
 
     /// Records that this VM, or the VM that provided the state, had contact with the store at `at`.
     void onStoreContact(Clock::time_point at) { m_lastContact = std::max(m_lastContact, at); }
@@ -62,9 +62,12 @@
     Clock::time_point lastContact() const { return m_lastContact; }
     const RoutingTablePtr &routing() const { return m_routing; }
     const TargetRegistry &registry() const { return m_registry; }
-    /// Returns the state for a VM that knows it up to revision `after`: the changes since, or the
-    /// whole state if those are no longer known. `revision` is the revision of this view.
-    PeerState stateAfter(std::uint64_t after, std::uint64_t revision, Clock::time_point now) const;
+    /// Returns the version of the configuration in force; zero if there is none.
+    ConfigVersion configurationVersion() const { return m_routing ? m_routing->version() : 0; }
+    /// Returns the state for a VM that knows `known`: the changes since, or the whole state if
+    /// those are no longer known. `revision` is the revision of this view.
+    PeerState stateAfter(const KnownState &known, std::uint64_t revision,
+                         Clock::time_point now) const;
     /// Returns the JSON of this view for the state dump.
     nlohmann::json stateJson() const;
 
