Repeat the notice to leave while a duty's ring is full

Found by reading the path of a stop; no run has shown it and there is no test. The notices to the entry duty and to the registry duty are now repeated until they are taken. The system tests of stops pass.

--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -111,11 +111,6 @@
     post(RegistryListed{});
 }
 
-void EntryDuty::startLeaving(Clock::time_point deadline)
-{
-    post(Leave{deadline});
-}
-
 void EntryDuty::handle(Message &message)
 {
     std::visit(Overloaded{[this](RoutingChanged &changed) {
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -65,8 +65,8 @@
     /// Applies the settings that can change in a running process.
     void applySettings(ReloadableSettings settings);
     /// Reports not ready from now on. Requests are still served, and all connections are closed by
-    /// `deadline`.
-    void startLeaving(Clock::time_point deadline);
+    /// `deadline`. Returns false if the duty's ring is full; the call must then be repeated.
+    bool startLeaving(Clock::time_point deadline) { return m_duty.tryPost(Leave{deadline}); }
     /// Returns whether a leaving VM has answered all requests and closed all connections of
     /// callers.
     bool hasLeft() const { return m_hasLeft; }
--- a/src/entry/entryvm.cpp
+++ b/src/entry/entryvm.cpp
@@ -137,10 +137,13 @@
     if (std::exchange(m_isStarted, false)) {
         const Clock::time_point deadline = Clock::now() + m_settings.stopTimeout;
         logEvent(LogLevel::Info, "vm_leaving", {{"vm", m_settings.vm}});
-        m_registry->tryPost(StartLeaving{});
-        m_entry->startLeaving(deadline);
-        while (!m_entry->hasLeft() && Clock::now() < deadline)
+        bool hasToldRegistry = false;
+        bool hasToldEntry = false;
+        while (!m_entry->hasLeft() && Clock::now() < deadline) {
+            hasToldRegistry = hasToldRegistry || m_registry->tryPost(StartLeaving{});
+            hasToldEntry = hasToldEntry || m_entry->startLeaving(deadline);
             std::this_thread::sleep_for(StopCheckInterval);
+        }
         if (!m_entry->hasLeft())
             logEvent(LogLevel::Warning, "stop_cut_off");
     }
