--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -76,7 +76,7 @@
     /// Whether failing targets that are being probed are left out. A part of a fan-out does not
     /// leave them out: without it the other parts may be too few for an answer.
     bool leavesOutEjected = false;
-    /// Until when it is of use to wait for a target that has asked for a pause or is left out.
+    /// Until when it is of use to wait for a target that has asked for a pause.
     Clock::time_point waitLimit;
     /// The usual latency of the target's response; zero if it is not known.
     Clock::duration expectedLatency{};
--- /dev/null
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -0,0 +1,81 @@
+// The part of the target directory that holds calls until a target has a free slot, or until the
+// pause that a target has asked for is over.
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "entry/targetdirectory.h"
+
+namespace mangoshift {
+
+bool TargetDirectory::mayWaitFor(const TargetAbsence &absence, const ServiceCall &call)
+{
+    return call.canWait && absence.endsAt && *absence.endsAt < call.waitLimit;
+}
+
+Clock::duration TargetDirectory::expectedWait(const std::string &service,
+                                              Clock::duration callLatency,
+                                              Clock::time_point now) const
+{
+    const auto waiting = m_waiting.find(service);
+    if (waiting == m_waiting.end())
+        return Clock::duration::zero();
+    const auto callsAhead =
+        std::count_if(waiting->second.begin(), waiting->second.end(),
+                      [now](const ServiceCall &call) { return call.usefulUntil >= now; });
+    std::uint32_t capacity = 0;
+    if (const auto it = m_byService.find(service); it != m_byService.end())
+        for (const TargetHandlePtr &handle : it->second)
+            if (!handle->isMisdirected && !handle->info.isDraining && !handle->load.isAvoided(now)
+                && handle->standing->mayReceive(now))
+                capacity += handle->load.limit();
+    return callLatency * (callsAhead + 1) / std::max<std::uint32_t>(capacity, 1);
+}
+
+void TargetDirectory::sendWaiting(const std::string &service, Clock::time_point now)
+{
+    const auto it = m_waiting.find(service);
+    if (it == m_waiting.end())
+        return;
+    // Calls that can still be in time go first; within each group the call with the earliest
+    // `usefulUntil` goes first.
+    std::vector<ServiceCall> waiting = std::move(it->second);
+    m_waiting.erase(it);
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [now](const ServiceCall &a, const ServiceCall &b) {
+                         return std::pair(a.usefulUntil < now, a.usefulUntil)
+                             < std::pair(b.usefulUntil < now, b.usefulUntil);
+                     });
+    std::vector<ServiceCall> left;
+    std::vector<std::pair<ServiceCall, TargetAbsence>> ended;
+    bool hasFreeSlot = true;
+    for (ServiceCall &call : waiting) {
+        const Candidates found = candidates(call, now);
+        if (found.handles.empty() && !mayWaitFor(found.absence, call)) {
+            ended.emplace_back(std::move(call), found.absence);
+            continue;
+        }
+        const TargetHandlePtr target = hasFreeSlot ? pick(found.handles, now) : nullptr;
+        hasFreeSlot = hasFreeSlot && (target || found.handles.empty());
+        if (!target || !send(target, call))
+            left.push_back(std::move(call));
+    }
+    if (!left.empty())
+        std::move(left.begin(), left.end(), std::back_inserter(m_waiting[service]));
+    for (auto &[call, absence] : ended)
+        call.onNoTarget(absence);
+}
+
+void TargetDirectory::dropWaiting(const std::string &service, const ForwardedRequestPtr &request)
+{
+    const auto it = m_waiting.find(service);
+    if (it == m_waiting.end())
+        return;
+    std::erase_if(it->second,
+                  [&request](const ServiceCall &call) { return call.request == request; });
+    if (it->second.empty())
+        m_waiting.erase(it);
+}
+
+} // namespace mangoshift
