--- a/src/core/targetstanding.cpp
+++ b/src/core/targetstanding.cpp
@@ -50,7 +50,7 @@
     if (!record.standing)
         record.standing = std::make_shared<TargetStanding>();
     record.lastUse = ++m_uses;
-    const std::shared_ptr<TargetStanding> standing = record.standing;
+    std::shared_ptr<TargetStanding> standing = record.standing;
     if (m_records.size() > m_limit)
         dropUnused();
     return standing;
