--- a/standins/fakeservers/connection.cpp
+++ b/standins/fakeservers/connection.cpp
@@ -55,7 +55,7 @@
     asio::write(m_socket, asio::buffer(bytes), ignored);
 }
 
-void ServerConnection::sendForever(std::string first, std::string repeated)
+void ServerConnection::sendForever(const std::string &first, std::string repeated)
 {
     send(first);
     m_repeated = std::move(repeated);
--- a/standins/fakeservers/connection.h
+++ b/standins/fakeservers/connection.h
@@ -23,7 +23,7 @@
     /// Writes all bytes, blocking; ignores errors.
     void send(const std::string &bytes);
     /// Writes `first`, then `repeated` again and again until the peer closes the connection.
-    void sendForever(std::string first, std::string repeated);
+    void sendForever(const std::string &first, std::string repeated);
     /// Closes the connection gracefully.
     void close();
     /// Closes the connection with a TCP reset.
