Explain a refused request with what its targets had said

explain showed the background of targets that a request had tried. A request that was not sent because the targets of its service leave, pause or fail had tried none, so the lines that give the cause were left out. They are now shown for the services that the trace names. Test: a section in explanation_test.cpp.

--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -146,6 +146,18 @@
     return targets;
 }
 
+/// Returns the services to which the request was not sent because of what is known of their
+/// targets, sorted by name.
+std::vector<std::string> unsentServicesOf(const LogLine &endEvent)
+{
+    std::vector<std::string> services;
+    for (const std::string &text : split(endEvent.value("trace"), ';'))
+        if (const auto decision = parseDecision(text); decision && decision->action == "not_sent")
+            services.push_back(decision->service);
+    std::sort(services.begin(), services.end());
+    return services;
+}
+
 std::string causeOf(const LogLine &endEvent)
 {
     if (endEvent.event == "request_rejected")
@@ -185,10 +197,18 @@
         if (const auto decision = parseDecision(text))
             explanation.steps.push_back(describe(*decision));
     const auto targets = failedTargetsOf(endEvent);
+    const auto unsent = unsentServicesOf(endEvent);
+    const auto isAboutUnsent = [&unsent](const LogLine &line) {
+        const bool closesTarget = line.event == "target_leaving" || line.event == "target_pauses"
+            || line.event == "target_failing";
+        return closesTarget
+            && std::binary_search(unsent.begin(), unsent.end(), line.value("service"));
+    };
     std::vector<LogLine> lines;
     for (const auto &[key, line] : background) {
         const std::string target = line.value("target");
-        if (target.empty() || std::binary_search(targets.begin(), targets.end(), target))
+        if (target.empty() || std::binary_search(targets.begin(), targets.end(), target)
+            || isAboutUnsent(line))
             lines.push_back(line);
     }
     std::stable_sort(lines.begin(), lines.end(),
--- a/test/unit/explanation_test.cpp
+++ b/test/unit/explanation_test.cpp
@@ -101,6 +101,30 @@
         CHECK(contains(found.cause, "did not know the configuration"));
         CHECK(contains(found.cause, "It has not run anywhere."));
     }
+    SECTION("a request for which no target was open is explained with what its targets said")
+    {
+        std::istringstream more(
+            "time=2026-12-04T10:00:05.000Z level=INFO event=target_pauses target=i-d "
+            "service=orders pause_ms=1500\n"
+            "time=2026-12-04T10:00:05.000Z level=INFO event=target_leaving target=i-e "
+            "service=orders pause_ms=0\n"
+            "time=2026-12-04T10:00:05.000Z level=INFO event=target_pauses target=i-f "
+            "service=other pause_ms=1500\n"
+            "time=2026-12-04T10:00:06.000Z level=INFO event=request_ended request=w1 route=o "
+            "config_version=3 outcome=refused status=503 execution=not_run reason=no_replica "
+            "took_ms=0 parts=0/1 hedges=0 retries=0 denied=0 missing=orders "
+            "trace=0:not_sent:orders:paused\n");
+        RequestSearch search("w1");
+        search.read("a-1", more);
+        const Explanation found = onlyExplanation(search);
+        CHECK(found.steps.at(0)
+              == "after 0 ms: not sent to orders: each target that is left has asked for a pause "
+                 "that is too long for it");
+        const std::string text = toText(found);
+        CHECK(contains(text, "target_pauses pause_ms=1500 service=orders target=i-d"));
+        CHECK(contains(text, "target_leaving pause_ms=0 service=orders target=i-e"));
+        CHECK_FALSE(contains(text, "i-f"));
+    }
     SECTION("a request that is in no log is not explained, and dropped lines are counted")
     {
         RequestSearch search("other");
