--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -279,6 +279,7 @@
         CHECK(pauseOf("0.25") == 250ms);
         CHECK(pauseOf("0.0001") == 1ms);
         CHECK(pauseOf("0") == 0ms);
+        CHECK(pauseOf("0." + std::string(400, '0') + "1") == 0ms);
     }
     SECTION("it does not pause for a value that is negative or no number")
     {
