--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -279,7 +279,7 @@
         CHECK(pauseOf("0.25") == 250ms);
         CHECK(pauseOf("0.0001") == 1ms);
         CHECK(pauseOf("0") == 0ms);
-        CHECK(pauseOf("0." + std::string(400, '0') + "1") == 0ms);
+        CHECK(pauseOf(std::string("0.").append(400, '0').append("1")) == 0ms);
     }
     SECTION("it does not pause for a value that is negative or no number")
     {
@@ -291,6 +291,7 @@
     {
         CHECK(pauseOf("3600.5") == 1h);
         CHECK(pauseOf(std::string(400, '9')) == 1h);
+        CHECK(pauseOf(std::string("-").append(400, '9')) == 0ms);
     }
     SECTION("of several values the longest valid one counts")
     {
