Follow the linter in the simulated fleet's tests

A fault is compared with a text for none instead of an empty one; responses are passed by reference.

--- a/test/unit/followingfleet.h
+++ b/test/unit/followingfleet.h
@@ -81,7 +81,7 @@
         bool isLast = true;
         std::string lastKey;
     };
-    using Respond = std::function<void(std::optional<Response>)>;
+    using Respond = std::function<void(const std::optional<Response> &)>;
 
     SimulatedStore(Simulation &simulation, std::mt19937_64 &random)
         : m_simulation(simulation)
@@ -398,7 +398,8 @@
 
     SimulatedStore::Respond onStore(Vm &vm, std::uint64_t number, bool isListing)
     {
-        return [this, &vm, number, isListing](std::optional<SimulatedStore::Response> response) {
+        return [this, &vm, number,
+                isListing](const std::optional<SimulatedStore::Response> &response) {
             runNow(vm, [this, &vm, number, isListing, response] {
                 onResponse(vm, number, isListing, response);
             });
--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -53,6 +53,8 @@
     return target;
 }
 
+const std::string NoFault = "no fault";
+
 /// A store with some pages of targets, a configuration, and a fleet that has read them.
 struct Deployment
 {
@@ -76,7 +78,7 @@
     }
 
     /// Returns the first fault of a VM's view: that it lacks a change up to its revision, or that
-    /// it lacks a change for longer than is allowed. Empty if there is none.
+    /// it lacks a change for longer than is allowed; `NoFault` if there is none.
     std::string fault() const
     {
         const Clock::time_point now = simulation.now();
@@ -90,29 +92,30 @@
                     continue;
                 if (entry.revision <= fleet->follower(vm).revision()
                     && !fleet->hasSeen(vm, entry, true))
-                    return vm + " lacks a change of " + id + " before its revision";
+                    return vm + std::string(" lacks a change before its revision: ").append(id);
                 // An entry that is removed while the store is not stable may have expired only for
                 // that reason, so the removal is held back.
                 const bool isHeld = entry.isRemoved && entry.changedAt < calmFrom + RecoveryBound;
                 if (isDue(entry.changedAt, isHeld ? RemovalGrace : 0ms)
                     && !fleet->hasSeen(vm, entry, false))
-                    return vm + " still acts on the earlier state of " + id;
+                    return vm + std::string(" still acts on the earlier state of ").append(id);
             }
             const ConfigVersion version = fleet->view(vm).routing()->version();
             if (isDue(store.versionChangedAt()) && version != store.version())
                 return vm + " still has an earlier configuration";
         }
-        return {};
+        return NoFault;
     }
     /// Runs for `time` and returns the first fault that a frequent check finds.
     std::string runAndCheck(Clock::duration time)
     {
         for (const Clock::time_point end = simulation.now() + time; simulation.now() < end;) {
             run(50ms);
-            if (const std::string found = fault(); !found.empty())
+            std::string found = fault();
+            if (found != NoFault)
                 return found;
         }
-        return {};
+        return NoFault;
     }
 
     std::mt19937_64 random;
@@ -140,7 +143,7 @@
         deployment.calmFrom = deployment.simulation.now();
         deployment.run(100ms);
         deployment.store.publish();
-        CHECK(deployment.runAndCheck(10s) == "");
+        CHECK(deployment.runAndCheck(10s) == NoFault);
     }
 }
 
@@ -157,9 +160,9 @@
         deployment.store.discardHistory();
         deployment.store.setLatency(200ms);
         deployment.calmFrom = deployment.simulation.now() + 3s;
-        CHECK(deployment.runAndCheck(3s) == "");
+        CHECK(deployment.runAndCheck(3s) == NoFault);
         deployment.store.setLatency(5ms);
-        CHECK(deployment.runAndCheck(10s) == "");
+        CHECK(deployment.runAndCheck(10s) == NoFault);
     }
 }
 
@@ -176,14 +179,14 @@
             deployment.store.cutWatches();
             deployment.run(50ms);
             deployment.store.remove(targetOf(2).id);
-            CHECK(deployment.runAndCheck(10s) == "");
+            CHECK(deployment.runAndCheck(10s) == NoFault);
         }
         SECTION("again and again")
         {
             deployment.store.remove(targetOf(1).id);
             for (int i = 0; i < 8; ++i) {
                 deployment.store.cutWatches();
-                CHECK(deployment.runAndCheck(1500ms) == "");
+                CHECK(deployment.runAndCheck(1500ms) == NoFault);
             }
         }
     }
@@ -293,7 +296,7 @@
         }
         while (simulation.now() < end) {
             const std::uint64_t readsBefore = store.reads();
-            REQUIRE(deployment.runAndCheck(1s) == "");
+            REQUIRE(deployment.runAndCheck(1s) == NoFault);
             REQUIRE(store.reads() - readsBefore <= MaxReadsPerWatcher * watchersOf(shape));
         }
     }
