--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -206,7 +206,7 @@
     handle->load.resetLimit();
     // Posted, because calls of the target may still be ending.
     asio::post(m_io,
-               [this, service = handle->info.service] { sendWaiting(service, Clock::now()); });
+               [this, service = handle->info.service] { reviewWaiting(service, Clock::now()); });
 }
 
 TargetHandlePtr TargetDirectory::pick(const std::vector<TargetHandlePtr> &handles,
@@ -318,7 +318,7 @@
     for (const auto &[service, waiting] : m_waiting)
         services.push_back(service);
     for (const std::string &service : services)
-        sendWaiting(service, now);
+        reviewWaiting(service, now);
     std::erase_if(m_retired,
                   [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
 }
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -173,6 +173,9 @@
     static void onMisdirected(TargetHandle &target, Clock::time_point now);
     /// Sends waiting calls to a service while its targets have free slots.
     void sendWaiting(const std::string &service, Clock::time_point now);
+    /// Does the same, and ends the waiting calls for which no target is left. Looks at every
+    /// waiting call, so it is not done each time that a call ends.
+    void reviewWaiting(const std::string &service, Clock::time_point now);
 
     asio::io_context &m_io;
     const WireAdapter &m_adapter;
--- a/src/entry/targetdirectory_waiting.cpp
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -9,6 +9,18 @@
 
 namespace mangoshift {
 
+namespace {
+
+/// Returns whether a call is sent before another. Calls that can still be in time go first; within
+/// each group the call with the earliest `usefulUntil` goes first.
+bool isDueBefore(const ServiceCall &a, const ServiceCall &b, Clock::time_point now)
+{
+    return std::pair(a.usefulUntil < now, a.usefulUntil)
+        < std::pair(b.usefulUntil < now, b.usefulUntil);
+}
+
+} // namespace
+
 bool TargetDirectory::mayWaitFor(const TargetAbsence &absence, const ServiceCall &call)
 {
     return call.canWait && absence.endsAt && *absence.endsAt < call.waitLimit;
@@ -38,15 +50,34 @@
     const auto it = m_waiting.find(service);
     if (it == m_waiting.end())
         return;
-    // Calls that can still be in time go first; within each group the call with the earliest
-    // `usefulUntil` goes first.
+    std::vector<ServiceCall> &waiting = it->second;
+    while (!waiting.empty()) {
+        const auto next = std::min_element(
+            waiting.begin(), waiting.end(),
+            [now](const ServiceCall &a, const ServiceCall &b) { return isDueBefore(a, b, now); });
+        const TargetHandlePtr target = pick(candidates(*next, now).handles, now);
+        if (!target)
+            return;
+        ServiceCall call = std::move(*next);
+        waiting.erase(next);
+        if (!send(target, call)) {
+            waiting.push_back(std::move(call));
+            return;
+        }
+    }
+    m_waiting.erase(service);
+}
+
+void TargetDirectory::reviewWaiting(const std::string &service, Clock::time_point now)
+{
+    const auto it = m_waiting.find(service);
+    if (it == m_waiting.end())
+        return;
     std::vector<ServiceCall> waiting = std::move(it->second);
     m_waiting.erase(it);
-    std::stable_sort(waiting.begin(), waiting.end(),
-                     [now](const ServiceCall &a, const ServiceCall &b) {
-                         return std::pair(a.usefulUntil < now, a.usefulUntil)
-                             < std::pair(b.usefulUntil < now, b.usefulUntil);
-                     });
+    std::stable_sort(
+        waiting.begin(), waiting.end(),
+        [now](const ServiceCall &a, const ServiceCall &b) { return isDueBefore(a, b, now); });
     std::vector<ServiceCall> left;
     std::vector<std::pair<ServiceCall, TargetAbsence>> ended;
     bool hasFreeSlot = true;
