Close pooled connections that are no longer used

Cause: a root sends a shard request to the next home while the first one is late or silent, which is intended and paid for. The next home then kept its connections for good. The check did not allow for a second home.

It now counts home_suspicions.

Ruled out: a change of membership; a home beyond its own limit.

Change: a pool closes connections that had no request for 10 s.

--- a/include/mangoshift/homemonitor.h
+++ b/include/mangoshift/homemonitor.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <unordered_map>
 
 #include "mangoshift/clock.h"
@@ -28,6 +30,8 @@
     bool shouldAvoid(const VmId &vm, Clock::time_point now);
     /// Returns the number of suspect homes.
     std::size_t suspectCount() const { return m_nextProbe.size(); }
+    /// Returns how often a home became suspect.
+    std::uint64_t suspicions() const { return m_suspicions; }
     /// Removes the VMs that are not in the view.
     void keepOnly(const MemberView &view);
 
@@ -37,6 +41,7 @@
     std::unordered_map<VmId, Clock::time_point> m_lastReplies;
     /// For each suspect home, when the next request may probe it.
     std::unordered_map<VmId, Clock::time_point> m_nextProbe;
+    std::uint64_t m_suspicions = 0;
 };
 
 } // namespace mangoshift
--- a/src/core/homemonitor.cpp
+++ b/src/core/homemonitor.cpp
@@ -13,7 +13,8 @@
 
 void HomeMonitor::onUnreachable(const VmId &vm, Clock::time_point now)
 {
-    m_nextProbe[vm] = now + ProbeInterval;
+    if (m_nextProbe.insert_or_assign(vm, now + ProbeInterval).second)
+        ++m_suspicions;
 }
 
 bool HomeMonitor::isSilentSince(const VmId &vm, Clock::time_point since) const
--- a/src/duties/queryduty.cpp
+++ b/src/duties/queryduty.cpp
@@ -268,6 +268,7 @@
                           {"complete", m_completeQueries},
                           {"plans_made", m_plans.plansMade()},
                           {"suspect_homes", m_root.homes().suspectCount()},
+                          {"home_suspicions", m_root.homes().suspicions()},
                           {"extra_tokens", m_root.extraTokens()},
                           {"ring", m_duty.ringSize()},
                           {"ring_rejected", m_duty.rejected()}}
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -28,6 +28,7 @@
     , m_maxConnections(maxConnections)
     , m_timeouts(timeouts)
     , m_waitingTimer(io)
+    , m_idleTimer(io)
     , m_self(std::make_shared<TargetPool *>(this))
 {
 }
@@ -150,10 +151,44 @@
     });
 }
 
+void TargetPool::addIdle(const ConnectionPtr &connection)
+{
+    m_idle.push_back(connection);
+    if (m_idle.size() == 1)
+        armIdleTimer();
+}
+
+void TargetPool::armIdleTimer()
+{
+    if (m_idle.empty())
+        return;
+    m_idleTimer.expires_at(m_idle.front()->lastResponseAt() + m_timeouts.idle);
+    m_idleTimer.async_wait([weak = std::weak_ptr(m_self)](asio::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        TargetPool &pool = **self;
+        const Clock::time_point idleSince = Clock::now() - pool.m_timeouts.idle;
+        pool.closeIdle([idleSince](const TargetConnection &each) {
+            return each.lastResponseAt() <= idleSince;
+        });
+        pool.armIdleTimer();
+    });
+}
+
+void TargetPool::closeIdle(const std::function<bool(const TargetConnection &)> &isWanted)
+{
+    std::vector<ConnectionPtr> closing;
+    std::copy_if(m_idle.begin(), m_idle.end(), std::back_inserter(closing),
+                 [&](const ConnectionPtr &each) { return isWanted(*each); });
+    for (const ConnectionPtr &connection : closing)
+        connection->close();
+}
+
 void TargetPool::onConnected(const ConnectionPtr &connection)
 {
     --m_connecting;
-    m_idle.push_back(connection);
+    addIdle(connection);
     dispatchWaiting();
 }
 
@@ -176,7 +211,7 @@
     m_lastResponseAt = Clock::now();
     if (!isKeepAlive)
         return;
-    m_idle.push_back(connection);
+    addIdle(connection);
     if (!m_waiting.empty())
         scheduleDispatch();
 }
@@ -195,11 +230,8 @@
 {
     ++m_silentConnections;
     // Idle connections without a response since then may be dead for the same reason.
-    std::vector<ConnectionPtr> suspects;
-    std::copy_if(m_idle.begin(), m_idle.end(), std::back_inserter(suspects),
-                 [&](const ConnectionPtr &each) { return each->lastResponseAt() < writtenAt; });
-    for (const ConnectionPtr &connection : suspects)
-        connection->close();
+    closeIdle(
+        [writtenAt](const TargetConnection &each) { return each.lastResponseAt() < writtenAt; });
 }
 
 } // namespace mangoshift
--- a/src/net/targetpool.h
+++ b/src/net/targetpool.h
@@ -51,6 +51,8 @@
     /// How long to wait for the response to a cancelled or expired request before its connection
     /// counts as silent.
     std::chrono::milliseconds gracePeriod{25};
+    /// How long a connection may stay idle before it is closed.
+    std::chrono::milliseconds idle{10000};
 };
 
 class TargetConnection;
@@ -64,6 +66,9 @@
 /// Otherwise the connection counts as silent and is closed, together with the idle connections that
 /// received no response since the request was sent. At most two connection attempts run
 /// concurrently.
+///
+/// Idle connections are closed after a while: a target accepts a limited number of connections from
+/// all VMs together, and a VM may use it only while another home of its shard is late or away.
 class TargetPool
 {
 public:
@@ -109,6 +114,9 @@
     void failWaiting(const std::deque<WaitingRequest>::iterator &position, HttpResult::End end);
     void sendCancellation(const std::string &callId);
     void scheduleDispatch();
+    void addIdle(const ConnectionPtr &connection);
+    void armIdleTimer();
+    void closeIdle(const std::function<bool(const TargetConnection &)> &isWanted);
     void onConnected(const ConnectionPtr &connection);
     void onConnectFailed(const ConnectionPtr &connection);
     void onResponded(const ConnectionPtr &connection, const std::string &callId, bool isKeepAlive);
@@ -121,10 +129,12 @@
     PoolTimeouts m_timeouts;
     std::size_t m_connecting = 0;
     std::list<ConnectionPtr> m_connections;
+    /// The connections without a request; the one that has been idle for longest comes first.
     std::deque<ConnectionPtr> m_idle;
     std::unordered_map<std::string, ConnectionPtr> m_busy;
     std::deque<WaitingRequest> m_waiting;
     asio::basic_waitable_timer<Clock> m_waitingTimer;
+    asio::basic_waitable_timer<Clock> m_idleTimer;
     Clock::time_point m_lastResponseAt{};
     std::uint64_t m_silentConnections = 0;
     /// Expires with the pool, so that posted handlers can detect its destruction.
