Do not wait for shards whose targets all fail

What callers saw: a query over shards waited for a shard whose targets all failed and were being probed by another request until the time of partial answers, though nothing else was missing; one that could not reach its minimum sent its other parts, failed as may-have-run (502, 504) and often late.

Cause: only forwarded requests left out targets that fail and are being probed.

Change: on arrival a query counts the shards that some target may take. If too few are left it is refused as not run before any part is sent, to return when enough pauses end (findCoverageGap). Otherwise parts that wait only for failing targets are stalled, and an answer with the least coverage does not wait for them (RequestMachine::onStalled); a part that is sent after all no longer is. The trace and explain name these parts.

--- a/include/mangoshift/arrivalcheck.h
+++ b/include/mangoshift/arrivalcheck.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <span>
 
 #include "mangoshift/clock.h"
@@ -15,4 +16,24 @@
 bool canFinishInTime(std::span<const Clock::duration> waits, Clock::duration callLatency,
                      Clock::duration timeLeft, std::size_t minParts);
 
+/// Whether a target of a shard can take a request, as far as a VM knows.
+struct ShardOutlook
+{
+    bool isServable = true;
+    /// When a shard that is not servable can be served again; no value if that is not known.
+    std::optional<Clock::time_point> returnsAt;
+};
+
+/// Too few shards can be served for an answer.
+struct CoverageGap
+{
+    /// When enough of them can be served again; no value if that is not known.
+    std::optional<Clock::time_point> endsAt;
+};
+
+/// Returns the gap that prevents an answer of at least `minShards` shards; no value if enough
+/// shards can be served.
+std::optional<CoverageGap> findCoverageGap(std::span<const ShardOutlook> shards,
+                                           std::size_t minShards);
+
 } // namespace mangoshift
--- a/include/mangoshift/requestmachine.h
+++ b/include/mangoshift/requestmachine.h
@@ -75,6 +75,9 @@
     /// Handles a hedge that was not sent for lack of a target or of budget; the part is not hedged
     /// again.
     void onHedgeDropped(std::size_t part);
+    /// Handles that a part waits only for targets that fail, or no longer does. An answer that
+    /// holds `minParts` parts does not wait for such a part.
+    RequestActions onStalled(std::size_t part, bool isStalled, Clock::time_point now);
     /// Sends due hedges, or finishes the request if its time is up; must be called at `nextEvent`.
     RequestActions onTimer(Clock::time_point now);
 
@@ -95,6 +98,7 @@
         /// The number of copies that targets refused without running them.
         std::uint32_t refusals = 0;
         bool canHedge = true;
+        bool isStalled = false;
         Clock::time_point hedgeAt;
     };
 
@@ -105,6 +109,8 @@
     void failPart(Part &part, RequestActions &actions, Clock::time_point now);
     bool canRetry(const Part &part, const Verdict &verdict) const;
     void finishIfDecided(RequestActions &actions, Clock::time_point now);
+    /// Returns whether a part is pending for which an answer is to wait.
+    bool isWorthWaiting() const;
     ReturnFailure makeFailure(Reason reason) const;
 
     RequestTerms m_terms;
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -114,7 +114,9 @@
     if (decision.action == "failed")
         return prefix + target + " failed: " + textOrKey(ReasonTexts, decision.reason);
     if (decision.action == "waits")
-        return prefix + "waits for a target of " + decision.service + " with capacity";
+        return prefix + "waits for a target of " + decision.service
+            + (decision.reason == "failing" ? ", as each one fails and is being probed"
+                                            : " with capacity");
     if (decision.action == "not_sent")
         return prefix + "not sent to " + decision.service + ": "
             + textOrKey(NotSentTexts, decision.reason);
@@ -146,13 +148,20 @@
     return targets;
 }
 
-/// Returns the services to which the request was not sent because of what is known of their
-/// targets, sorted by name.
+/// Returns whether the request was not sent to a service, or waited, because of what is known of
+/// the service's targets.
+bool isForLackOfTargets(const Decision &decision)
+{
+    return decision.action == "not_sent"
+        || (decision.action == "waits" && decision.reason == "failing");
+}
+
+/// Returns the services of such decisions, sorted by name.
 std::vector<std::string> unsentServicesOf(const LogLine &endEvent)
 {
     std::vector<std::string> services;
     for (const std::string &text : split(endEvent.value("trace"), ';'))
-        if (const auto decision = parseDecision(text); decision && decision->action == "not_sent")
+        if (const auto decision = parseDecision(text); decision && isForLackOfTargets(*decision))
             services.push_back(decision->service);
     std::sort(services.begin(), services.end());
     return services;
@@ -168,7 +177,8 @@
         + endEvent.value("took_ms") + " ms, " + endEvent.value("parts") + " parts: ";
     if (endEvent.value("outcome") == "partial")
         return cause
-            + "the rest had not arrived when the answer had to be sent to be in time. Missing: "
+            + "the rest had no target that could take it, or had not arrived when the answer had "
+              "to be sent to be in time. Missing: "
             + endEvent.value("missing") + ".";
     cause += textOrKey(ReasonTexts, endEvent.value("reason")) + ". "
         + textOrKey(ExecutionTexts, endEvent.value("execution"));
--- a/src/core/arrivalcheck.cpp
+++ b/src/core/arrivalcheck.cpp
@@ -1,6 +1,7 @@
 #include "mangoshift/arrivalcheck.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace mangoshift {
 
@@ -13,4 +14,25 @@
     return static_cast<std::size_t>(inTime) >= minParts;
 }
 
+std::optional<CoverageGap> findCoverageGap(std::span<const ShardOutlook> shards,
+                                           std::size_t minShards)
+{
+    std::size_t servable = 0;
+    std::vector<Clock::time_point> returns;
+    for (const ShardOutlook &shard : shards) {
+        if (shard.isServable)
+            ++servable;
+        else if (shard.returnsAt)
+            returns.push_back(*shard.returnsAt);
+    }
+    if (servable >= minShards)
+        return std::nullopt;
+    const std::size_t lacking = minShards - servable;
+    if (returns.size() < lacking)
+        return CoverageGap{};
+    const auto last = returns.begin() + static_cast<std::ptrdiff_t>(lacking - 1);
+    std::nth_element(returns.begin(), last, returns.end());
+    return CoverageGap{*last};
+}
+
 } // namespace mangoshift
--- a/src/core/requestmachine.cpp
+++ b/src/core/requestmachine.cpp
@@ -32,6 +32,7 @@
     Part &state = m_parts[part];
     ++state.inFlight;
     ++state.attempts;
+    state.isStalled = false;
     state.hedgeAt = now + m_terms.hedgeDelay;
     return {part, cause};
 }
@@ -115,6 +116,15 @@
     state.canHedge = false;
 }
 
+RequestActions RequestMachine::onStalled(std::size_t part, bool isStalled, Clock::time_point now)
+{
+    RequestActions actions;
+    m_parts[part].isStalled = isStalled;
+    if (!m_isFinished && isStalled)
+        finishIfDecided(actions, now);
+    return actions;
+}
+
 RequestActions RequestMachine::onTimer(Clock::time_point now)
 {
     RequestActions actions;
@@ -146,7 +156,7 @@
 {
     const std::size_t pending = m_parts.size() - m_answered - m_failed;
     const bool hasMinParts = m_answered >= m_terms.minParts;
-    if (hasMinParts && (pending == 0 || now >= m_terms.partialAnswerFrom)) {
+    if (hasMinParts && (!isWorthWaiting() || now >= m_terms.partialAnswerFrom)) {
         m_isFinished = true;
         actions.emplace_back(ReturnAnswer{});
     } else if (m_answered + pending < m_terms.minParts) {
@@ -155,6 +165,13 @@
     }
 }
 
+bool RequestMachine::isWorthWaiting() const
+{
+    return std::any_of(m_parts.begin(), m_parts.end(), [](const Part &part) {
+        return part.state == PartState::Pending && !part.isStalled;
+    });
+}
+
 ReturnFailure RequestMachine::makeFailure(Reason reason) const
 {
     Execution execution = m_execution;
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -131,6 +131,26 @@
         && m_state.directory.countReachableServices(fanOut()->shards) < m_minParts;
 }
 
+std::optional<CoverageGap> RequestExchange::coverageGap(Clock::time_point now)
+{
+    if (fanOut() == nullptr)
+        return std::nullopt;
+    std::vector<ShardOutlook> shards;
+    std::vector<std::pair<const Part *, TargetAbsence>> absences;
+    shards.reserve(m_parts.size());
+    for (const Part &part : m_parts) {
+        const auto absence = m_state.directory.absence(part.service, m_partialAnswerFrom, now);
+        shards.push_back(absence ? ShardOutlook{false, absence->endsAt} : ShardOutlook{});
+        if (absence)
+            absences.emplace_back(&part, *absence);
+    }
+    const auto gap = findCoverageGap(shards, m_minParts);
+    if (gap)
+        for (const auto &[part, absence] : absences)
+            addAbsenceToTrace(*part, absence);
+    return gap;
+}
+
 bool RequestExchange::hasTooLongQueues(Clock::time_point now) const
 {
     if (fanOut() == nullptr)
@@ -149,12 +169,17 @@
         respondWithFailure({Execution::NotRun, Reason::NoReplica, CutOffRetryAfter});
         return;
     }
-    if (hasTooLongQueues(Clock::now())) {
+    const Clock::time_point now = Clock::now();
+    if (const auto gap = coverageGap(now)) {
+        respondWithFailure(noTargetVerdict(gap->endsAt, now));
+        return;
+    }
+    if (hasTooLongQueues(now)) {
         addToTrace("queue_too_long", m_request.route->name, {}, "");
         respondWithFailure({Execution::NotRun, Reason::Overloaded, OverloadRetryAfter});
         return;
     }
-    perform(m_machine->start(Clock::now()));
+    perform(m_machine->start(now));
 }
 
 void RequestExchange::perform(RequestActions actions)
@@ -253,36 +278,54 @@
         if (const auto self = weak.lock())
             self->onNoTarget(action, absence);
     };
-    const auto [state, absence] = m_state.directory.call(std::move(call), now);
-    if (state == CallState::NoTarget)
-        return onUnsent(action, noTargetVerdict(part, absence, now), now);
+    call.onStalled = [weak = weak_from_this(), index = action.part](bool isStalled) {
+        if (const auto self = weak.lock())
+            self->onStalled(index, isStalled);
+    };
+    const auto [state, absence, isStalled] = m_state.directory.call(std::move(call), now);
+    if (state == CallState::NoTarget) {
+        addAbsenceToTrace(part, absence);
+        return onUnsent(action, noTargetVerdict(absence.endsAt, now), now);
+    }
     if (state == CallState::NoFreeSlot) {
         addToTrace("not_sent", part.service, {}, "no_room");
         return onUnsent(action, {Execution::NotRun, Reason::Overloaded, RefusalRetryAfter}, now);
     }
     if (state == CallState::Waiting)
-        addToTrace("waits", part.service, {}, "");
+        addToTrace("waits", part.service, {}, isStalled ? "failing" : "");
     // A waiting call is charged before it is sent: otherwise other calls would pass the same check
     // while it waits.
     if (payment == Payment::Share)
         m_state.budgets.share(part.service).trySpend(now);
     part.isWaiting = state == CallState::Waiting;
     countSend(action.cause);
-    return {};
+    return isStalled ? m_machine->onStalled(action.part, true, now) : RequestActions{};
 }
 
-Verdict RequestExchange::noTargetVerdict(const Part &part, const TargetAbsence &absence,
-                                         Clock::time_point now)
+void RequestExchange::addAbsenceToTrace(const Part &part, const TargetAbsence &absence)
 {
     static constexpr std::array causeNames{"no_target", "leaving", "failing", "paused"};
     addToTrace("not_sent", part.service, {},
                causeNames.at(static_cast<std::size_t>(absence.cause)));
-    const Clock::duration delay =
-        absence.endsAt ? *absence.endsAt - now : Clock::duration(NoReplicaRetryAfter);
+}
+
+Verdict RequestExchange::noTargetVerdict(const std::optional<Clock::time_point> &endsAt,
+                                         Clock::time_point now) const
+{
+    const Clock::duration delay = endsAt ? *endsAt - now : Clock::duration(NoReplicaRetryAfter);
     return {Execution::NotRun, Reason::NoReplica,
             retryDelay(delay, m_request.route->priority, m_state.draw())};
 }
 
+void RequestExchange::onStalled(std::size_t part, bool isStalled)
+{
+    if (m_isFinished || !m_parts[part].isWaiting)
+        return;
+    if (isStalled)
+        addToTrace("waits", m_parts[part].service, {}, "failing");
+    perform(m_machine->onStalled(part, isStalled, Clock::now()));
+}
+
 void RequestExchange::onNoTarget(const SendPart &action, const TargetAbsence &absence)
 {
     if (m_isFinished)
@@ -290,7 +333,8 @@
     const Clock::time_point now = Clock::now();
     Part &part = m_parts[action.part];
     part.isWaiting = false;
-    perform(onUnsent(action, noTargetVerdict(part, absence, now), now));
+    addAbsenceToTrace(part, absence);
+    perform(onUnsent(action, noTargetVerdict(absence.endsAt, now), now));
 }
 
 void RequestExchange::countSend(SendCause cause)
@@ -326,6 +370,7 @@
     state.copies.push_back({target, call, true});
     state.isWaiting = false;
     state.mayHaveArrived = true;
+    m_machine->onStalled(part, false, now);
 }
 
 std::optional<Verdict> RequestExchange::classifyReply(const TargetCallResult &reply) const
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -10,6 +10,7 @@
 
 #include "entry/entrystate.h"
 #include "entry/incomingrequest.h"
+#include "mangoshift/arrivalcheck.h"
 #include "mangoshift/requestmachine.h"
 
 namespace mangoshift {
@@ -66,8 +67,12 @@
     enum class Payment : std::uint8_t { None, Share, Pool };
     RequestActions callTarget(const SendPart &action, Payment payment, Clock::time_point now);
     void countSend(SendCause cause);
-    /// Returns the verdict on a part for which there is no target, and adds the cause to the trace.
-    Verdict noTargetVerdict(const Part &part, const TargetAbsence &absence, Clock::time_point now);
+    /// Adds to the trace why there is no target for a part.
+    void addAbsenceToTrace(const Part &part, const TargetAbsence &absence);
+    /// Returns the verdict on what no target can take before `endsAt`; no value if that is not
+    /// known.
+    Verdict noTargetVerdict(const std::optional<Clock::time_point> &endsAt,
+                            Clock::time_point now) const;
     /// Handles a waiting part for which no target is left.
     void onNoTarget(const SendPart &action, const TargetAbsence &absence);
     RequestActions onExtraDenied(const SendPart &action, Clock::time_point now);
@@ -80,6 +85,11 @@
     void reportOverdue(const Part &part, Clock::time_point now);
     /// Returns whether this VM is cut off and reaches too few targets for a successful answer.
     bool isCutOffFromTargets() const;
+    /// Returns whether too few parts have targets for a successful answer, and until when. Adds the
+    /// parts without targets to the trace if so.
+    std::optional<CoverageGap> coverageGap(Clock::time_point now);
+    /// Handles that a waiting part has stalled, or no longer is.
+    void onStalled(std::size_t part, bool isStalled);
     /// Returns whether the queues are too long for enough parts to be answered in time.
     bool hasTooLongQueues(Clock::time_point now) const;
     void respondWithAnswer();
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -23,14 +23,6 @@
 /// Several times the targets of the largest deployment that is designed for.
 constexpr std::size_t MaxStandings = 16384;
 
-void logIfFailingChanged(const TargetHandle &target, bool wasFailing)
-{
-    const bool isFailing = target.load.isFailing();
-    if (isFailing != wasFailing)
-        logEvent(LogLevel::Info, isFailing ? "target_failing" : "target_answers",
-                 {{"target", target.info.id}, {"service", target.info.service}});
-}
-
 } // namespace
 
 bool isSpoilt(const HttpResponse &response, const EntryHeaderNames &names)
@@ -183,6 +175,40 @@
     return found;
 }
 
+bool TargetDirectory::Candidates::areAllEjected() const
+{
+    return !handles.empty()
+        && std::all_of(handles.begin(), handles.end(),
+                       [](const TargetHandlePtr &handle) { return handle->load.isEjected(); });
+}
+
+std::optional<TargetAbsence> TargetDirectory::absence(const std::string &service,
+                                                      Clock::time_point waitLimit,
+                                                      Clock::time_point now) const
+{
+    ServiceCall call;
+    call.service = service;
+    call.leavesOutEjected = true;
+    call.waitLimit = waitLimit;
+    const Candidates found = candidates(call, now);
+    if (!found.handles.empty() || mayWaitFor(found.absence, call))
+        return std::nullopt;
+    return found.absence;
+}
+
+void TargetDirectory::onFailingMayHaveChanged(const TargetHandle &target, bool wasFailing)
+{
+    const bool isFailing = target.load.isFailing();
+    if (isFailing == wasFailing)
+        return;
+    logEvent(LogLevel::Info, isFailing ? "target_failing" : "target_answers",
+             {{"target", target.info.id}, {"service", target.info.service}});
+    // Posted, because the caller may be looking at the waiting calls.
+    if (isFailing)
+        asio::post(m_io,
+                   [this, service = target.info.service] { reviewWaiting(service, Clock::now()); });
+}
+
 void TargetDirectory::onNotice(const std::weak_ptr<TargetHandle> &target,
                                const HttpResponse &response)
 {
@@ -234,8 +260,10 @@
         return {CallState::Sent, {}};
     if (!call.canWait)
         return {CallState::NoFreeSlot, {}};
+    call.isStalled = found.areAllEjected();
+    const CallOutcome outcome{CallState::Waiting, {}, call.isStalled};
     m_waiting[call.service].push_back(std::move(call));
-    return {CallState::Waiting, {}};
+    return outcome;
 }
 
 bool TargetDirectory::send(const TargetHandlePtr &target, ServiceCall &call)
@@ -259,14 +287,14 @@
 {
     const bool wasFailing = target->load.isFailing();
     recordOutcome(*target, expected, reply, Clock::now());
-    logIfFailingChanged(*target, wasFailing);
+    onFailingMayHaveChanged(*target, wasFailing);
 }
 
 void TargetDirectory::onOverdue(const TargetHandlePtr &target, Clock::time_point now)
 {
     const bool wasFailing = target->load.isFailing();
     target->load.onOverdue(now);
-    logIfFailingChanged(*target, wasFailing);
+    onFailingMayHaveChanged(*target, wasFailing);
 }
 
 void TargetDirectory::recordOutcome(TargetHandle &target, Clock::duration expected,
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -84,6 +84,11 @@
     std::function<void(const TargetHandlePtr &, TargetCallResult)> onEnded;
     /// Called instead of `onSent` if no target is left for the call while it waits.
     std::function<void(const TargetAbsence &)> onNoTarget;
+    /// Called while the call waits, when all of its targets have come to fail and are being probed,
+    /// and when that has ended.
+    std::function<void(bool isStalled)> onStalled;
+    /// What `onStalled` was last called with.
+    bool isStalled = false;
 };
 
 /// Returns whether a response cannot be the target's own: it is encoded, or succeeds without a
@@ -103,6 +108,8 @@
     CallState state;
     /// Valid with `CallState::NoTarget`.
     TargetAbsence absence;
+    /// Whether a waiting call waits only for targets that fail and are being probed.
+    bool isStalled = false;
 };
 
 /// The targets of each service as this VM sees them, and the calls that wait for them. Belongs to
@@ -126,6 +133,10 @@
     /// possibly from within `call`. `onEnded` is then called once with the result, never from
     /// within `call`.
     CallOutcome call(ServiceCall call, Clock::time_point now);
+    /// Returns why a request to a service would find no target, waiting until `waitLimit` at most
+    /// and leaving out targets that fail and are being probed; no value if it would find one.
+    std::optional<TargetAbsence> absence(const std::string &service, Clock::time_point waitLimit,
+                                         Clock::time_point now) const;
     /// Records that the response to a call is overdue.
     void onOverdue(const TargetHandlePtr &target, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
@@ -156,8 +167,13 @@
     {
         std::vector<TargetHandlePtr> handles;
         TargetAbsence absence;
+
+        /// Returns whether there are targets, and all of them fail and are being probed.
+        bool areAllEjected() const;
     };
     Candidates candidates(const ServiceCall &call, Clock::time_point now) const;
+    /// Logs that a target has come to fail or answers again; `wasFailing` is its earlier state.
+    void onFailingMayHaveChanged(const TargetHandle &target, bool wasFailing);
     /// Handles what a target says about itself in a response.
     void onNotice(const std::weak_ptr<TargetHandle> &target, const HttpResponse &response);
     /// Returns whether a call may wait for the end of the pauses of its targets.
@@ -173,8 +189,8 @@
     static void onMisdirected(TargetHandle &target, Clock::time_point now);
     /// Sends waiting calls to a service while its targets have free slots.
     void sendWaiting(const std::string &service, Clock::time_point now);
-    /// Does the same, and ends the waiting calls for which no target is left. Looks at every
-    /// waiting call, so it is not done each time that a call ends.
+    /// Does the same, ends the waiting calls for which no target is left, and reports those that
+    /// have stalled. Looks at every waiting call, so it is not done each time that a call ends.
     void reviewWaiting(const std::string &service, Clock::time_point now);
 
     asio::io_context &m_io;
--- a/src/entry/targetdirectory_waiting.cpp
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -80,6 +80,7 @@
         [now](const ServiceCall &a, const ServiceCall &b) { return isDueBefore(a, b, now); });
     std::vector<ServiceCall> left;
     std::vector<std::pair<ServiceCall, TargetAbsence>> ended;
+    std::vector<std::pair<std::function<void(bool)>, bool>> stallChanges;
     bool hasFreeSlot = true;
     for (ServiceCall &call : waiting) {
         const Candidates found = candidates(call, now);
@@ -89,13 +90,19 @@
         }
         const TargetHandlePtr target = hasFreeSlot ? pick(found.handles, now) : nullptr;
         hasFreeSlot = hasFreeSlot && (target || found.handles.empty());
-        if (!target || !send(target, call))
-            left.push_back(std::move(call));
+        if (target && send(target, call))
+            continue;
+        const bool isStalled = found.areAllEjected();
+        if (std::exchange(call.isStalled, isStalled) != isStalled && call.onStalled)
+            stallChanges.emplace_back(call.onStalled, isStalled);
+        left.push_back(std::move(call));
     }
     if (!left.empty())
         std::move(left.begin(), left.end(), std::back_inserter(m_waiting[service]));
     for (auto &[call, absence] : ended)
         call.onNoTarget(absence);
+    for (const auto &[onStalled, isStalled] : stallChanges)
+        onStalled(isStalled);
 }
 
 void TargetDirectory::dropWaiting(const std::string &service, const ForwardedRequestPtr &request)
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <csignal>
 #include <future>
 
@@ -22,6 +23,16 @@
     return text;
 }
 
+/// The latency target of each route.
+constexpr int LatencyTargetMs = 1000;
+
+/// Returns how long a request took by the log line of its end.
+int millisecondsTaken(const std::string &line)
+{
+    const std::string field = " took_ms=";
+    return std::stoi(line.substr(line.find(field) + field.size()));
+}
+
 bool contains(const std::string &text, const std::string &what)
 {
     return text.find(what) != std::string::npos;
@@ -390,6 +401,65 @@
     }
 }
 
+// Guards against queries that wait for shards whose targets all fail: for the answer, or for the
+// failure, of the request that probes them.
+TEST_CASE("A query over shards does not wait for shards whose targets all fail")
+{
+    EntrySystem system;
+    // Keeps a few queries pending, which find that the targets fail and probe them.
+    std::atomic<bool> isDone = false;
+    std::vector<std::future<void>> probes;
+    const auto startProbes = [&] {
+        for (int i = 0; i < 3; ++i)
+            probes.push_back(std::async(std::launch::async, [&system, &isDone, i] {
+                for (int n = 0; !isDone; ++n)
+                    system.sendRequest("GET", "/all/x",
+                                       "probe-" + std::to_string(i) + "-" + std::to_string(n));
+            }));
+    };
+    // Repeats a query until its response has this status and its log line contains `text`, and it
+    // took less than the time from which partial answers are sent although shards are pending.
+    const auto isEventually = [&system](int status, const std::string &name,
+                                        const std::string &text) {
+        return eventually([&system, &name, status, text, attempts = 0]() mutable {
+            const std::string id = name + std::to_string(++attempts);
+            const auto response = system.sendRequest("GET", "/all/x", id);
+            return response && response->status == status
+                && (status == 200 ? response->get_header_value("X-Missing-Parts") == "1"
+                                  : system.targetsThatRan(id).empty())
+                && contains(system.waitForLogLine(id), text)
+                && millisecondsTaken(system.waitForLogLine(id)) < LatencyTargetMs / 2;
+        });
+    };
+
+    SECTION("but is answered without them, before it would give up waiting")
+    {
+        system.setTargetMode("i-s3a", "mute");
+        startProbes();
+        CHECK(isEventually(200, "partial", ":waits:s3:failing"));
+    }
+    SECTION("and is refused at once, as not run, if too few others are left")
+    {
+        for (const std::string target : {"i-s2a", "i-s2b", "i-s3a"})
+            system.setTargetMode(target, "mute");
+        startProbes();
+        CHECK(isEventually(503, "refused", ":not_sent:s3:failing"));
+        AND_WHEN("they respond again")
+        {
+            for (const std::string target : {"i-s2a", "i-s2b", "i-s3a"})
+                system.setTargetMode(target, "ok");
+            CHECK(eventually([&system] {
+                const auto response = system.sendRequest("GET", "/all/x", "served");
+                return response && response->status == 200
+                    && response->get_header_value("X-Missing-Parts") == "0";
+            }));
+        }
+    }
+    isDone = true;
+    for (auto &probe : probes)
+        probe.wait();
+}
+
 TEST_CASE("A target whose address was taken over by another target gets no further requests")
 {
     EntrySystem system;
--- a/test/system/targets_test.cpp
+++ b/test/system/targets_test.cpp
@@ -203,20 +203,20 @@
 
 TEST_CASE("No target gets more concurrent requests than it has slots")
 {
-    constexpr std::uint64_t Slots = 2;
+    constexpr std::uint64_t slots = 2;
     // One connection for each slot, and one for cancellations.
-    constexpr std::uint64_t HomeConnections = Slots + 1;
+    constexpr std::uint64_t homeConnections = slots + 1;
     FaultyTargetFixture fixture;
     const auto connections = fixture.connectionsByVm();
     const std::uint64_t suspicions = fixture.homeSuspicions();
     INFO("open connections by VM: " << Json(connections)
                                     << ", extra requests: " << fixture.extraRequests()
                                     << ", suspicions of homes: " << suspicions);
-    CHECK(fixture.readTargetRecord("most_running") <= Slots);
+    CHECK(fixture.readTargetRecord("most_running") <= slots);
     CHECK(fixture.readTargetRecord("shed") == 0);
     for (const auto &[vm, open] : connections)
-        CHECK(open <= HomeConnections);
-    CHECK(fixture.readTargetRecord("most_connections") <= HomeConnections * connections.size());
+        CHECK(open <= homeConnections);
+    CHECK(fixture.readTargetRecord("most_connections") <= homeConnections * connections.size());
     // A VM uses the next home of a shard only while the first one is late or silent.
     if (fixture.extraRequests() == 0 && suspicions == 0)
         CHECK(connections.size() == 1);
--- a/test/unit/arrivalcheck_test.cpp
+++ b/test/unit/arrivalcheck_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace mangoshift;
 using std::chrono::milliseconds;
+using namespace std::chrono_literals;
 
 TEST_CASE("A fan-out is refused on arrival only if queues make it late")
 {
@@ -30,3 +31,35 @@
         CHECK(canFinishInTime(waits, latency, left, 20));
     }
 }
+
+TEST_CASE("A query over shards is refused on arrival if too few shards can be served")
+{
+    const Clock::time_point now(1h);
+    std::vector<ShardOutlook> shards(5);
+    const ShardOutlook failing{false, std::nullopt};
+
+    SECTION("it is accepted while the least coverage can be served")
+    {
+        shards[0] = shards[1] = failing;
+        CHECK_FALSE(findCoverageGap(shards, 3));
+    }
+    SECTION("it is to return when enough shards are back")
+    {
+        shards[0] = {false, now + 900ms};
+        shards[1] = {false, now + 300ms};
+        shards[2] = {false, now + 500ms};
+        REQUIRE(findCoverageGap(shards, 3));
+        CHECK(findCoverageGap(shards, 3)->endsAt == now + 300ms);
+        CHECK(findCoverageGap(shards, 4)->endsAt == now + 500ms);
+        CHECK(findCoverageGap(shards, 5)->endsAt == now + 900ms);
+    }
+    SECTION("the time is not known if it depends on a shard whose targets fail")
+    {
+        shards[0] = failing;
+        shards[1] = {false, now + 300ms};
+        shards[2] = failing;
+        CHECK(findCoverageGap(shards, 3)->endsAt == now + 300ms);
+        REQUIRE(findCoverageGap(shards, 4));
+        CHECK_FALSE(findCoverageGap(shards, 4)->endsAt);
+    }
+}
--- a/test/unit/explanation_test.cpp
+++ b/test/unit/explanation_test.cpp
@@ -125,6 +125,22 @@
         CHECK(contains(text, "target_leaving pause_ms=0 service=orders target=i-e"));
         CHECK_FALSE(contains(text, "i-f"));
     }
+    SECTION("a query that waited for shards whose targets fail is explained with them")
+    {
+        std::istringstream more(
+            "time=2026-12-04T10:00:05.000Z level=INFO event=target_failing target=i-d "
+            "service=s1\n"
+            "time=2026-12-04T10:00:06.000Z level=INFO event=request_ended request=w2 route=o "
+            "config_version=3 outcome=partial status=200 execution=ran reason=ok "
+            "took_ms=40 parts=19/20 hedges=0 retries=0 denied=0 missing=s1 "
+            "trace=0:waits:s1:failing\n");
+        RequestSearch search("w2");
+        search.read("a-1", more);
+        const Explanation found = onlyExplanation(search);
+        CHECK(found.steps.at(0)
+              == "after 0 ms: waits for a target of s1, as each one fails and is being probed");
+        CHECK(contains(toText(found), "target_failing service=s1 target=i-d"));
+    }
     SECTION("a request that is in no log is not explained, and dropped lines are counted")
     {
         RequestSearch search("other");
--- a/test/unit/requestmachine_test.cpp
+++ b/test/unit/requestmachine_test.cpp
@@ -157,6 +157,33 @@
         CHECK(textOf(machine.onFailed(2, noReplica, Start + 11ms)).empty());
         CHECK(textOf(machine.onFailed(3, noReplica, Start + 12ms)) == "fail:may_have_run ");
     }
+    SECTION("does not wait for a shard whose targets all fail once the other shards have answered")
+    {
+        CHECK(textOf(machine.onStalled(3, true, Start + 1ms)).empty());
+        answer({0, 1});
+        CHECK(textOf(machine.onAnswered(2, Start + 12ms)) == "answer ");
+    }
+    SECTION("is answered when the last shard that is missing stalls")
+    {
+        answer({0, 1, 2});
+        CHECK(textOf(machine.onStalled(3, true, Start + 12ms)) == "answer ");
+    }
+    SECTION("waits for a shard that is sent to one of its targets after all")
+    {
+        machine.onStalled(3, true, Start + 1ms);
+        machine.onStalled(3, false, Start + 5ms);
+        answer({0, 1});
+        CHECK(textOf(machine.onAnswered(2, Start + 12ms)).empty());
+        CHECK(textOf(machine.onAnswered(3, Start + 14ms)) == "answer ");
+    }
+    SECTION("waits for a shard that has stalled while the others are too few for an answer")
+    {
+        machine.onStalled(2, true, Start + 1ms);
+        machine.onStalled(3, true, Start + 1ms);
+        machine.onAnswered(0, Start + 10ms);
+        CHECK(textOf(machine.onAnswered(1, Start + 11ms)).empty());
+        CHECK(textOf(machine.onAnswered(2, Start + 15ms)) == "answer ");
+    }
     SECTION("ignores a second response from a shard")
     {
         machine.onTimer(Start + 20ms);
@@ -216,6 +243,10 @@
     for (int i = 0; i < 60 && !machine.isFinished(); ++i) {
         now = std::min(now + std::chrono::milliseconds(pick(0, 60)), terms.deadline);
         const auto part = static_cast<std::size_t>(pick(0, static_cast<int>(parts) - 1));
+        if (pick(0, 4) == 0) {
+            perform(machine.onStalled(part, pick(0, 1) == 1, now));
+            continue;
+        }
         const int event = pick(0, 3);
         if (event == 3 || inFlight[part] == 0) {
             perform(machine.onTimer(now));
