Never lose a change of state to a duty whose ring is full

What callers would see: requests to a removed target, or by an old configuration, until the next change of the same thing. Not seen; found by reading on the paths related to the skipped changes and the ignored stop.

Cause: changes of state took the same bounded ring as requests and frames. A full ring refuses a message; the senders of configurations, targets, members and stops logged that, or ignored it, and did not send again.

Ruled out: a larger ring; waiting for room, as duties post to each other.

Change: Duty::postLatest keeps the latest message of each kind beside the ring, merges changes of targets by target, and is never refused. It is used for what would be missed for good, in entry and in serve.

--- a/include/mangoshift/targetregistry.h
+++ b/include/mangoshift/targetregistry.h
@@ -50,6 +50,10 @@
 };
 using RegistryChange = std::variant<TargetListed, TargetDelisted>;
 
+/// Appends `later` to `changes`. A later change of a target replaces the earlier one, so that there
+/// is one change for each target.
+void mergeChanges(std::vector<RegistryChange> &changes, std::vector<RegistryChange> later);
+
 /// Maintains the set of targets from their registry entries.
 ///
 /// Reports of a target may arrive out of order: a report from an earlier incarnation, or one with a
--- a/src/app/servevm.cpp
+++ b/src/app/servevm.cpp
@@ -82,7 +82,7 @@
         [this](LinkId link, wire::ShardRepliesT replies) {
             onHomeReplies(link, std::move(replies));
         },
-        [this](ProcessPaused paused) { m_control->tryPost(paused); });
+        [this](ProcessPaused paused) { m_control->postLatest(paused); });
     m_queries = std::make_unique<QueryDuty>(
         m_self, QueryDuty::Options{m_settings.placement, m_settings.mechanisms.homeHedges},
         [this](const VmId &vm, FramePtr frame) { return sendFrame(vm, std::move(frame)); });
@@ -97,19 +97,19 @@
     m_control = std::make_unique<ControlDuty>(
         m_settings, m_self,
         ControlSinks{[this](DocumentPtr document) {
-                         m_homes->tryPost(DocumentChanged{document});
-                         m_queries->tryPost(DocumentChanged{document});
-                         m_tickets->tryPost(DocumentChanged{document});
+                         m_homes->postLatest(DocumentChanged{document});
+                         m_queries->postLatest(DocumentChanged{document});
+                         m_tickets->postLatest(DocumentChanged{document});
                          m_submitRoutes->setDocument(document);
                          m_callers->setDocument(std::move(document));
                      },
                      [this](MemberViewPtr members) {
-                         m_peers->tryPost(MembersChanged{members});
-                         m_homes->tryPost(MembersChanged{members});
-                         m_tickets->tryPost(MembersChanged{members});
-                         m_queries->tryPost(MembersChanged{std::move(members)});
+                         m_peers->postLatest(MembersChanged{members});
+                         m_homes->postLatest(MembersChanged{members});
+                         m_tickets->postLatest(MembersChanged{members});
+                         m_queries->postLatest(MembersChanged{std::move(members)});
                      },
-                     [this](ConfigConfirmed confirmed) { m_homes->tryPost(confirmed); },
+                     [this](ConfigConfirmed confirmed) { m_homes->postLatest(confirmed); },
                      [this](const VmId &vm, FramePtr frame) {
                          m_peers->tryPost(SendToVm{vm, std::move(frame)});
                      },
--- a/src/base/duty.h
+++ b/src/base/duty.h
@@ -3,9 +3,13 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <utility>
+#include <variant>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -15,10 +19,23 @@
 
 namespace mangoshift {
 
-/// A thread with an event loop and a bounded ring of incoming messages.
+/// The latest message of each kind: a tuple with an optional value for each type of the variant.
+template <typename Message>
+struct LatestMessages;
+template <typename... Kinds>
+struct LatestMessages<std::variant<Kinds...>>
+{
+    using Type = std::tuple<std::optional<Kinds>...>;
+};
+
+/// A thread with an event loop, a bounded ring of incoming messages, and the latest message of each
+/// kind that describes a state.
 ///
 /// `Message` is the variant of all messages that other threads may post to the duty. The handler
 /// runs on the duty's thread only, so the duty's state needs no lock.
+///
+/// A message that would be missed for good if it were lost, such as a new configuration, is posted
+/// with `postLatest`; every other message with `tryPost`, whose sender must cope with a full ring.
 template <typename Message>
 class Duty
 {
@@ -72,6 +89,28 @@
         return true;
     }
 
+    /// Posts a message that replaces the one of the same kind which the duty has not handled yet.
+    /// If the kind has a member `merge`, that is called instead, with the new message. Never
+    /// rejected; handled before the messages in the ring. May be called from any thread.
+    template <typename Kind>
+    void postLatest(Kind value)
+    {
+        {
+            const std::lock_guard lock(m_latestMutex);
+            std::optional<Kind> &held = std::get<std::optional<Kind>>(m_latest);
+            if constexpr (requires { held->merge(std::move(value)); }) {
+                if (!held)
+                    held.emplace();
+                held->merge(std::move(value));
+            } else {
+                held = std::move(value);
+            }
+            if (std::exchange(m_hasLatest, true))
+                return;
+        }
+        asio::post(m_io, [this] { handleAll(); });
+    }
+
     asio::io_context &io() { return m_io; }
     const std::string &name() const { return m_name; }
     std::size_t ringSize() const { return m_ring.size(); }
@@ -80,14 +119,40 @@
     std::size_t rejected() const { return m_rejected; }
 
 private:
+    using Latest = typename LatestMessages<Message>::Type;
+
+    void handleLatest()
+    {
+        Latest latest;
+        {
+            const std::lock_guard lock(m_latestMutex);
+            if (!std::exchange(m_hasLatest, false))
+                return;
+            latest = std::exchange(m_latest, Latest());
+        }
+        std::apply([this](auto &...each) { (this->handleIfPresent(each), ...); }, latest);
+    }
+    template <typename Kind>
+    void handleIfPresent(std::optional<Kind> &held)
+    {
+        if (!held)
+            return;
+        Message message(std::move(*held));
+        m_handler(message);
+    }
+
     void handleAll()
     {
+        handleLatest();
         for (Message &message : m_ring.drain())
             m_handler(message);
     }
 
     std::string m_name;
     BoundedRing<Message> m_ring;
+    std::mutex m_latestMutex;
+    Latest m_latest;
+    bool m_hasLatest = false;
     asio::io_context m_io{1};
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     Handler m_handler;
--- a/src/core/targetregistry.cpp
+++ b/src/core/targetregistry.cpp
@@ -1,6 +1,7 @@
 #include "mangoshift/targetregistry.h"
 
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 namespace mangoshift {
@@ -20,8 +21,29 @@
     return a == b;
 }
 
+const TargetId &targetOf(const RegistryChange &change)
+{
+    if (const auto *listed = std::get_if<TargetListed>(&change))
+        return listed->target.id;
+    return std::get<TargetDelisted>(change).id;
+}
+
 } // namespace
 
+void mergeChanges(std::vector<RegistryChange> &changes, std::vector<RegistryChange> later)
+{
+    std::unordered_map<TargetId, std::size_t> positions;
+    for (std::size_t i = 0; i < changes.size(); ++i)
+        positions.emplace(targetOf(changes[i]), i);
+    for (RegistryChange &change : later) {
+        const auto [position, isNew] = positions.try_emplace(targetOf(change), changes.size());
+        if (isNew)
+            changes.push_back(std::move(change));
+        else
+            changes[position->second] = std::move(change);
+    }
+}
+
 TargetRegistry::TargetRegistry(std::chrono::milliseconds recoveryGrace)
     : m_recoveryGrace(recoveryGrace)
 {
--- a/src/duties/controlduty.cpp
+++ b/src/duties/controlduty.cpp
@@ -47,10 +47,10 @@
     , m_bytesOut(metrics.controlBytes.Add({{"direction", "out"}, {"channel", "peer"}}))
     , m_platform(settings.platformAddress,
                  {[this](ConfigVersion version, std::string text) {
-                      m_duty.tryPost(PlatformDocument{version, std::move(text)});
+                      m_duty.postLatest(PlatformDocument{version, std::move(text)});
                   },
                   [this](std::string text, Clock::time_point requestedAt) {
-                      m_duty.tryPost(PlatformList{std::move(text), requestedAt});
+                      m_duty.postLatest(PlatformList{std::move(text), requestedAt});
                   }},
                  metrics)
 {
@@ -78,7 +78,7 @@
 void ControlDuty::startLeaving()
 {
     m_isLeaving = true;
-    m_duty.tryPost(StartLeaving{});
+    m_duty.postLatest(StartLeaving{});
 }
 
 void ControlDuty::handle(ControlMessage &message)
--- a/src/duties/controlduty.h
+++ b/src/duties/controlduty.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <asio/basic_waitable_timer.hpp>
 
@@ -49,6 +50,12 @@
     bool isReady() const { return m_isReady && !m_isLeaving; }
     /// Returns false if the ring is full.
     bool tryPost(ControlMessage message) { return m_duty.tryPostMessage(message); }
+    /// Posts a message that is never rejected; see `Duty::postLatest`.
+    template <typename Kind>
+    void postLatest(Kind value)
+    {
+        m_duty.postLatest(std::move(value));
+    }
 
 private:
     void handle(ControlMessage &message);
--- a/src/duties/homeduty.h
+++ b/src/duties/homeduty.h
@@ -55,6 +55,12 @@
     void stop();
     /// Returns false if the ring is full.
     bool tryPost(HomeMessage message) { return m_duty.tryPostMessage(message); }
+    /// Posts a message that is never rejected; see `Duty::postLatest`.
+    template <typename Kind>
+    void postLatest(Kind value)
+    {
+        m_duty.postLatest(std::move(value));
+    }
     /// Returns the number of shard requests without a reply, of batches with buffered replies and
     /// of queued messages. Safe to call from any thread.
     std::size_t pending() const { return m_pending + m_duty.ringSize(); }
--- a/src/duties/peerduty.h
+++ b/src/duties/peerduty.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include <asio/basic_waitable_timer.hpp>
 #include <asio/ip/tcp.hpp>
@@ -48,6 +49,12 @@
     void stop();
     /// Returns false if the ring is full.
     bool tryPost(PeerMessage message) { return m_duty.tryPostMessage(message); }
+    /// Posts a message that is never rejected; see `Duty::postLatest`.
+    template <typename Kind>
+    void postLatest(Kind value)
+    {
+        m_duty.postLatest(std::move(value));
+    }
     /// Returns the number of bytes not yet written plus the number of queued messages; zero if
     /// there is nothing left to send. Safe to call from any thread.
     std::size_t pending() const { return m_pendingBytes + m_duty.ringSize(); }
--- a/src/duties/queryduty.h
+++ b/src/duties/queryduty.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <asio/basic_waitable_timer.hpp>
@@ -42,6 +43,12 @@
     void stop();
     /// Returns false if the ring is full.
     bool tryPost(QueryMessage message) { return m_duty.tryPostMessage(message); }
+    /// Posts a message that is never rejected; see `Duty::postLatest`.
+    template <typename Kind>
+    void postLatest(Kind value)
+    {
+        m_duty.postLatest(std::move(value));
+    }
 
 private:
     struct RunningQuery;
--- a/src/duties/ticketduty.h
+++ b/src/duties/ticketduty.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -84,6 +85,12 @@
     void stop();
     /// Returns false if the ring is full.
     bool tryPost(TicketMessage message) { return m_duty.tryPostMessage(message); }
+    /// Posts a message that is never rejected; see `Duty::postLatest`.
+    template <typename Kind>
+    void postLatest(Kind value)
+    {
+        m_duty.postLatest(std::move(value));
+    }
     /// Refuses requests for tickets from now on, because the outcomes of the tickets would be lost
     /// when this process ends. A submission without a ticket is still issued one.
     void startLeaving() { m_isLeaving = true; }
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -70,45 +70,41 @@
     m_duty.stop();
 }
 
-void EntryDuty::post(Message message)
-{
-    if (!m_duty.tryPostMessage(message))
-        logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
-}
-
 void EntryDuty::setRouting(RoutingTablePtr routing)
 {
-    post(RoutingChanged{std::move(routing)});
+    m_duty.postLatest(RoutingChanged{std::move(routing)});
 }
 
 void EntryDuty::applyTargets(std::vector<RegistryChange> changes)
 {
-    post(TargetsChanged{std::move(changes)});
+    m_duty.postLatest(TargetsChanged{std::move(changes)});
 }
 
 void EntryDuty::setFleetSize(std::size_t vms)
 {
-    post(FleetSize{vms});
+    m_duty.postLatest(FleetSize{vms});
 }
 
 void EntryDuty::onBudgetGrants(BudgetGrants grants)
 {
-    post(std::move(grants));
+    // A grant that is lost is not used; the requests that wait for it go on without it.
+    if (!m_duty.tryPost(std::move(grants)))
+        logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
 }
 
 void EntryDuty::onOtherDomainContact()
 {
-    post(OtherDomainContact{});
+    m_duty.postLatest(OtherDomainContact{});
 }
 
 void EntryDuty::applySettings(ReloadableSettings settings)
 {
-    post(settings);
+    m_duty.postLatest(settings);
 }
 
 void EntryDuty::setRegistryListed()
 {
-    post(RegistryListed{});
+    m_duty.postLatest(RegistryListed{});
 }
 
 void EntryDuty::handle(Message &message)
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -53,6 +54,7 @@
 
     // May be called from any thread.
 
+    /// Sets the configuration in force.
     void setRouting(RoutingTablePtr routing);
     void applyTargets(std::vector<RegistryChange> changes);
     /// Reports that all targets have been listed, so that requests can be served.
@@ -65,8 +67,8 @@
     /// Applies the settings that can change in a running process.
     void applySettings(ReloadableSettings settings);
     /// Reports not ready from now on. Requests are still served, and all connections are closed by
-    /// `deadline`. Returns false if the duty's ring is full; the call must then be repeated.
-    bool startLeaving(Clock::time_point deadline) { return m_duty.tryPost(Leave{deadline}); }
+    /// `deadline`.
+    void startLeaving(Clock::time_point deadline) { m_duty.postLatest(Leave{deadline}); }
     /// Returns whether a leaving VM has answered all requests and closed all connections of
     /// callers.
     bool hasLeft() const { return m_hasLeft; }
@@ -81,6 +83,8 @@
     struct TargetsChanged
     {
         std::vector<RegistryChange> changes;
+
+        void merge(TargetsChanged later) { mergeChanges(changes, std::move(later.changes)); }
     };
     struct RegistryListed
     {
@@ -100,7 +104,6 @@
         std::variant<RoutingChanged, TargetsChanged, RegistryListed, FleetSize, BudgetGrants,
                      ReloadableSettings, OtherDomainContact, Leave, StateRequest>;
 
-    void post(Message message);
     void handle(Message &message);
     CallerEvents callerEvents();
     CallerEvents readyEvents();
--- a/src/entry/entryvm.cpp
+++ b/src/entry/entryvm.cpp
@@ -38,7 +38,7 @@
     };
     m_entry = std::make_unique<EntryDuty>(
         m_settings, m_adapter, m_metrics,
-        EntrySinks{postToRegistry, [postToRegistry] { postToRegistry(PingOtherDomains{}); }});
+        EntrySinks{postToRegistry, [this] { m_registry->postLatest(PingOtherDomains{}); }});
     m_registry =
         std::make_unique<RegistryDuty>(m_settings, m_self, m_adapter, registrySinks(), m_metrics);
     if (m_settings.peerAddress)
@@ -72,7 +72,7 @@
     sinks.onGrants = [this](BudgetGrants grants) { m_entry->onBudgetGrants(std::move(grants)); };
     sinks.onOtherDomainContact = [this] { m_entry->onOtherDomainContact(); };
     sinks.onMembers = [this](MemberViewPtr members) {
-        m_peers->tryPost(MembersChanged{std::move(members)});
+        m_peers->postLatest(MembersChanged{std::move(members)});
     };
     sinks.sendToVm = [this](const VmId &vm, FramePtr frame) {
         if (!m_peers->tryPost(SendToVm{vm, std::move(frame)}))
@@ -128,8 +128,7 @@
 {
     m_settings.stopTimeout = wanted.stopTimeout;
     m_entry->applySettings({wanted.retryBudget, wanted.replyMargin});
-    if (!m_registry->tryPost(SeedsChanged{wanted.seeds}))
-        logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
+    m_registry->postLatest(SeedsChanged{wanted.seeds});
 }
 
 void EntryVm::stop()
@@ -137,13 +136,10 @@
     if (std::exchange(m_isStarted, false)) {
         const Clock::time_point deadline = Clock::now() + m_settings.stopTimeout;
         logEvent(LogLevel::Info, "vm_leaving", {{"vm", m_settings.vm}});
-        bool hasToldRegistry = false;
-        bool hasToldEntry = false;
-        while (!m_entry->hasLeft() && Clock::now() < deadline) {
-            hasToldRegistry = hasToldRegistry || m_registry->tryPost(StartLeaving{});
-            hasToldEntry = hasToldEntry || m_entry->startLeaving(deadline);
+        m_registry->postLatest(StartLeaving{});
+        m_entry->startLeaving(deadline);
+        while (!m_entry->hasLeft() && Clock::now() < deadline)
             std::this_thread::sleep_for(StopCheckInterval);
-        }
         if (!m_entry->hasLeft())
             logEvent(LogLevel::Warning, "stop_cut_off");
     }
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -66,6 +67,12 @@
     void stop() { m_duty.stop(); }
     /// Posts a message to the duty. Returns false if the ring is full.
     bool tryPost(RegistryMessage message) { return m_duty.tryPostMessage(message); }
+    /// Posts a message that is never rejected; see `Duty::postLatest`.
+    template <typename Kind>
+    void postLatest(Kind value)
+    {
+        m_duty.postLatest(std::move(value));
+    }
 
 private:
     using Timer = asio::basic_waitable_timer<Clock>;
--- a/test/unit/targetregistry_test.cpp
+++ b/test/unit/targetregistry_test.cpp
@@ -109,3 +109,24 @@
         }
     }
 }
+
+TEST_CASE("Changes of targets that were not taken yet are merged")
+{
+    std::vector<RegistryChange> changes;
+    mergeChanges(changes, {TargetListed{targetOf("a", 1, 1)}, TargetListed{targetOf("b", 1, 1)}});
+    REQUIRE(textOf(changes) == "+a+b");
+
+    SECTION("changes of other targets are kept")
+    {
+        mergeChanges(changes, {TargetListed{targetOf("c", 1, 1)}, TargetDelisted{"d"}});
+        CHECK(textOf(changes) == "+a+b+c-d");
+    }
+    SECTION("of several changes of a target the last one is kept")
+    {
+        mergeChanges(changes,
+                     {TargetDelisted{"a"}, TargetListed{targetOf("c", 1, 1)},
+                      TargetListed{targetOf("a", 2, 1)}, TargetDelisted{"b"}});
+        CHECK(textOf(changes) == "+a-b+c");
+        CHECK(std::get<TargetListed>(changes.front()).target.startedAt == 2);
+    }
+}
