Remove targets between the cuts of watches in their test

The section "again and again" removed one target before the first cut only, so it passed with removals held back after any failure of the store, the fault it guards against. It now removes a target after each of eight cuts, and checks for 10 s after the last.

The check is stricter than before; nothing else changed.

--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -183,11 +183,13 @@
         }
         SECTION("again and again")
         {
-            deployment.store.remove(targetOf(1).id);
-            for (int i = 0; i < 8; ++i) {
+            for (int i = 1; i <= 8; ++i) {
                 deployment.store.cutWatches();
-                CHECK(deployment.runAndCheck(1500ms) == NoFault);
+                CHECK(deployment.runAndCheck(700ms) == NoFault);
+                deployment.store.remove(targetOf(i).id);
+                CHECK(deployment.runAndCheck(800ms) == NoFault);
             }
+            CHECK(deployment.runAndCheck(10s) == NoFault);
         }
     }
 }
