Hold removals back by the targets' own report interval

What callers would see: where targets report less or more often than every 1.2 s, live targets lost after a short outage of the store, or removed ones used for 2.3 s longer than needed. Not seen: all deployments so far report every 1.2 s.

Cause: the shortest outage in which entries of live targets can expire was a constant; it follows from the interval at which targets report, which the platform states in its settings and which was not read.

With the default nothing changes.

--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -66,6 +66,8 @@
     settings.replyMargin =
         milliseconds(json.value("reply_margin_ms", settings.replyMargin.count()));
     settings.watchWait = milliseconds(json.value("watch_wait_ms", settings.watchWait.count()));
+    settings.targetReportInterval =
+        milliseconds(json.value("target_report_ms", settings.targetReportInterval.count()));
     settings.logLevel = readLogLevel(json.value("log_level", "info"));
     if (!faults.empty())
         return tl::make_unexpected(std::move(faults));
@@ -95,6 +97,7 @@
     compare("assumed_vms", inForce.assumedVms, wanted.assumedVms);
     compare("max_caller_connections", inForce.maxCallerConnections, wanted.maxCallerConnections);
     compare("watch_wait_ms", inForce.watchWait, wanted.watchWait);
+    compare("target_report_ms", inForce.targetReportInterval, wanted.targetReportInterval);
     return fields;
 }
 
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -48,6 +48,8 @@
     /// later, which must leave enough of the 3 s in which a configuration has to be in force to
     /// read the store again.
     std::chrono::milliseconds watchWait{2000};
+    /// How often a target writes its entry. It expires after three intervals of silence.
+    std::chrono::milliseconds targetReportInterval{1200};
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -19,9 +19,9 @@
 /// How long removals are held back after an outage of the store. The platform promises that entries
 /// which expired during the outage are back within about two seconds if the target is alive.
 constexpr milliseconds RecoveryGrace{2300};
-/// The shortest outage of the store in which entries of live targets can expire: they do after 3.6
-/// s without a report, and targets report every 1.2 s.
-constexpr milliseconds MinOutage{2400};
+/// The shortest outage of the store in which entries of live targets can expire, in intervals
+/// between their reports: they expire after three, one of which may have passed before.
+constexpr int MinOutageReports = 2;
 /// How often a VM without state looks for other VMs: a seed that starts at the same time is
 /// available some ten milliseconds later.
 constexpr milliseconds JoinInterval{50};
@@ -67,7 +67,7 @@
     , m_duty("registry", RingCapacity)
     , m_connection(m_duty.io(), settings.storeAddress)
     , m_follower(m_self, settings.seeds, settings.watchWait, Clock::now())
-    , m_storeView(RecoveryGrace, MinOutage)
+    , m_storeView(RecoveryGrace, MinOutageReports * settings.targetReportInterval)
     , m_pool(m_self, settings.retryBudget, settings.assumedVms,
              {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onGrants})
     , m_pendingPulls(m_duty.io(), [this](const PendingStatePull &pull) { replyToPull(pull); })
--- a/test/unit/entrysettings_test.cpp
+++ b/test/unit/entrysettings_test.cpp
@@ -63,6 +63,18 @@
     CHECK(fieldsThatNeedRestart(*inForce, *parseEntrySettings(changed.dump())).empty());
     changed["peer_address"] = "127.0.0.1:2";
     changed["watch_wait_ms"] = 100;
+    changed["target_report_ms"] = 400;
     CHECK(fieldsThatNeedRestart(*inForce, *parseEntrySettings(changed.dump()))
-          == std::vector<std::string>{"peer_address", "watch_wait_ms"});
+          == std::vector<std::string>{"peer_address", "watch_wait_ms", "target_report_ms"});
+}
+
+TEST_CASE("The interval at which targets report is read from the settings")
+{
+    using std::chrono::milliseconds;
+    CHECK(parseEntrySettings(Settings.dump())->targetReportInterval == milliseconds(1200));
+    Json changed = Settings;
+    changed["target_report_ms"] = 400;
+    CHECK(parseEntrySettings(changed.dump())->targetReportInterval == milliseconds(400));
+    changed["target_report_ms"] = 0;
+    CHECK_FALSE(parseEntrySettings(changed.dump()));
 }
