Handle a state before the messages that were posted after it

Cause: a duty took the latest states first and the ring second. A thread that posted a state and then a message in between had its message handled first.

Change: the ring is drained first, the states are taken next, then both are handled, states first.

--- a/src/base/duty.h
+++ b/src/base/duty.h
@@ -10,6 +10,7 @@
 #include <tuple>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -91,7 +92,8 @@
 
     /// Posts a message that replaces the one of the same kind which the duty has not handled yet.
     /// If the kind has a member `merge`, that is called instead, with the new message. Never
-    /// rejected; handled before the messages in the ring. May be called from any thread.
+    /// rejected; handled before the messages that were posted to the ring later. May be called from
+    /// any thread.
     template <typename Kind>
     void postLatest(Kind value)
     {
@@ -143,8 +145,11 @@
 
     void handleAll()
     {
+        std::vector<Message> messages = m_ring.drain();
+        // Taken after the messages, so that a state that was posted before one of them is handled
+        // before it.
         handleLatest();
-        for (Message &message : m_ring.drain())
+        for (Message &message : messages)
             m_handler(message);
     }
 
--- a/test/unit/duty_test.cpp
+++ b/test/unit/duty_test.cpp
@@ -115,10 +115,16 @@
     std::vector<int> lastOfWriter(writers, -1);
     int handled = 0;
     int version = 0;
+    int overtakenChanges = 0;
     std::promise<void> done;
     duty.start([&](Message &message) {
         if (const auto *configuration = std::get_if<Configuration>(&message))
             version = std::max(version, configuration->version);
+        if (const auto *event = std::get_if<Event>(&message)) {
+            // A writer posts a change before the event with the same number.
+            const auto writer = static_cast<std::size_t>(event->number / changesPerWriter);
+            overtakenChanges += lastOfWriter[writer] < event->number % changesPerWriter ? 1 : 0;
+        }
         const auto *all = std::get_if<Changes>(&message);
         if (all == nullptr)
             return;
@@ -137,8 +143,9 @@
         threads.emplace_back([&duty, writer] {
             for (int i = 0; i < changesPerWriter; ++i) {
                 duty.postLatest(Configuration{i});
-                duty.postLatest(Changes{{writer * changesPerWriter + i}});
-                duty.tryPost(Event{i});
+                const int number = writer * changesPerWriter + i;
+                duty.postLatest(Changes{{number}});
+                duty.tryPost(Event{number});
             }
         });
     for (std::thread &thread : threads)
@@ -146,5 +153,6 @@
     done.get_future().wait();
     duty.stop();
     CHECK(version == changesPerWriter - 1);
+    CHECK(overtakenChanges == 0);
     CHECK(lastOfWriter == std::vector<int>(writers, changesPerWriter - 1));
 }
