Let no socket of a test outlive its event loop

Three tests of target channels kept connections of their stand-in beyond the event loop that these use. The unit tests under the address sanitizer stopped there ("An abandoned call"), so what follows was not run under it. They now hold the connections weakly; every check is as before.

--- a/test/unit/targetchannels_test.cpp
+++ b/test/unit/targetchannels_test.cpp
@@ -1,3 +1,7 @@
+#include <memory>
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "http/targetchannels.h"
@@ -92,6 +96,10 @@
     TargetChannels m_channels;
 };
 
+/// The connections on which requests wait for a response. Weak, because a socket must not outlive
+/// its event loop.
+using PendingConnections = std::vector<std::weak_ptr<ScriptedServer::Connection>>;
+
 void respondToRequest(const ScriptedServer::ConnectionPtr &connection)
 {
     connection->send(
@@ -265,7 +273,7 @@
 
 TEST_CASE("Calls beyond the connection limit are queued")
 {
-    std::vector<ScriptedServer::ConnectionPtr> pendingConnections;
+    PendingConnections pendingConnections;
     ChannelOptions options;
     options.maxConnections = 1;
     options.maxWaitingCalls = 2;
@@ -281,9 +289,9 @@
 
     SECTION("in order of arrival")
     {
-        respondToRequest(pendingConnections[0]);
+        respondToRequest(pendingConnections[0].lock());
         REQUIRE(exchange.run([&] { return pendingConnections.size() == 2; }));
-        CHECK(idOf(pendingConnections[1]->received) == "r2");
+        CHECK(idOf(pendingConnections[1].lock()->received) == "r2");
         CHECK(exchange.server().accepted() == 1);
     }
     SECTION("up to a limit")
@@ -295,15 +303,15 @@
         exchange.channels().abandon(second, 1s);
         REQUIRE(exchange.run([&] { return exchange.outcomes().size() == 1; }));
         CHECK(exchange.outcomes().front() == "unsent");
-        respondToRequest(pendingConnections[0]);
+        respondToRequest(pendingConnections[0].lock());
         REQUIRE(exchange.run([&] { return pendingConnections.size() == 2; }));
-        CHECK(idOf(pendingConnections[1]->received) == "r3");
+        CHECK(idOf(pendingConnections[1].lock()->received) == "r3");
     }
 }
 
 TEST_CASE("An abandoned call")
 {
-    std::vector<ScriptedServer::ConnectionPtr> pendingConnections;
+    PendingConnections pendingConnections;
     Exchange exchange([&pendingConnections](const ScriptedServer::ConnectionPtr &connection) {
         pendingConnections.push_back(connection);
     });
@@ -313,7 +321,7 @@
 
     SECTION("leaves the connection usable if the response arrives within the grace period")
     {
-        respondToRequest(pendingConnections[0]);
+        respondToRequest(pendingConnections[0].lock());
         REQUIRE(exchange.run([&] { return exchange.outcomes().size() == 1; }));
         exchange.startCall("r2");
         REQUIRE(exchange.run([&] { return pendingConnections.size() == 2; }));
@@ -332,7 +340,7 @@
 
 TEST_CASE("Retired channels finish the pending call and close")
 {
-    std::vector<ScriptedServer::ConnectionPtr> pendingConnections;
+    PendingConnections pendingConnections;
     Exchange exchange([&pendingConnections](const ScriptedServer::ConnectionPtr &connection) {
         pendingConnections.push_back(connection);
     });
@@ -340,7 +348,7 @@
     REQUIRE(exchange.run([&] { return pendingConnections.size() == 1; }));
     exchange.channels().retire();
     CHECK_FALSE(exchange.channels().isIdle());
-    respondToRequest(pendingConnections[0]);
+    respondToRequest(pendingConnections[0].lock());
     REQUIRE(exchange.run([&] { return exchange.outcomes().size() == 1; }));
     CHECK(exchange.outcomes().front() == "body of r1");
     CHECK(exchange.channels().openConnections() == 0);
