Send refused probes of a system test again when they are told to

Cause, in the test: its probes repeated refused queries without a pause, some hundreds a second. The log leaves lines out at that rate, and the test waits up to 30 s for the line of a query, all the time it has.

Evidence: in a calm run that passed, the log already had 408 ended requests and two event=log_lines_left_out. Ruled out: the load itself (60 runs, five at a time, 30 of them beside twelve busy processes, passed).

Change: a probe that is refused waits for the time in Retry-After. The checks are as before.

--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -1,4 +1,4 @@
-#include <atomic>
+#include <chrono>
 #include <csignal>
 #include <future>
 
@@ -406,15 +406,23 @@
 TEST_CASE("A query over shards does not wait for shards whose targets all fail")
 {
     EntrySystem system;
-    // Keeps a few queries pending, which find that the targets fail and probe them.
-    std::atomic<bool> isDone = false;
+    // Keeps a few queries pending, which find that the targets fail and probe them. Refused ones
+    // are sent again when they are told to return, so that no log line is left out.
+    std::promise<void> done;
+    const std::shared_future<void> isDone = done.get_future();
     std::vector<std::future<void>> probes;
     const auto startProbes = [&] {
         for (int i = 0; i < 3; ++i)
-            probes.push_back(std::async(std::launch::async, [&system, &isDone, i] {
-                for (int n = 0; !isDone; ++n)
-                    system.sendRequest("GET", "/all/x",
-                                       "probe-" + std::to_string(i) + "-" + std::to_string(n));
+            probes.push_back(std::async(std::launch::async, [&system, isDone, i] {
+                std::chrono::duration<double> returnAfter{0};
+                for (int n = 0; isDone.wait_for(returnAfter) == std::future_status::timeout; ++n) {
+                    const auto response = system.sendRequest(
+                        "GET", "/all/x", "probe-" + std::to_string(i) + "-" + std::to_string(n));
+                    const std::string text =
+                        response ? response->get_header_value("Retry-After") : "";
+                    returnAfter =
+                        std::chrono::duration<double>(text.empty() ? 0.0 : std::stod(text));
+                }
             }));
     };
     // Repeats a query until its response has this status and its log line contains `text`, and it
@@ -455,7 +463,7 @@
             }));
         }
     }
-    isDone = true;
+    done.set_value();
     for (auto &probe : probes)
         probe.wait();
 }
