Count a replay that a signal ends as a failure

Found in reading: `deploy/run.py replay` exited with 0, that is as if every stated outcome held, if the replay program crashed.

Cause: Python gives the signal that ended a program as a negative status, and the greatest status of all replays was returned. A status of 0 without a report counted as a pass, too.

Change: both count as "could not be replayed", status 3 as documented. The new tests run the launcher's function with a script in place of the program; two of three failed before.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -27,6 +27,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")).resolve()
 OFFSET = os.environ.get("MANGOSHIFT_NET_OFFSET", "0")
+NOT_REPLAYED = 3
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 15
 POLL_S = 0.05
@@ -205,6 +206,13 @@
     return f"{name}: " + ("FAIL " + ", ".join(failed) if failed else "pass")
 
 
+def exit_status(status, report):
+    """Returns what a replay adds to the exit status. A negative `status` is the signal that ended
+    the replay."""
+    was_not_replayed = status < 0 or (status == 0 and not report.exists())
+    return NOT_REPLAYED if was_not_replayed else status
+
+
 def replay(folder, traces, disabled=()):
     """Replays each trace against a new deployment; returns the highest exit status, and at least 1
     if a process had to be killed."""
@@ -219,7 +227,7 @@
         try:
             done = subprocess.run([BUILD / "mangoshift", "replay", "--run", run_folder, "--trace",
                                    trace, "--json", report], check=False)
-            worst = max(worst, done.returncode)
+            worst = max(worst, exit_status(done.returncode, report))
             summaries.append(summarize(trace, done.returncode, report))
         finally:
             for name in stop(run_folder):
--- a/test/system/launcher_test.py
+++ b/test/system/launcher_test.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 import unittest
+import unittest.mock
 import urllib.error
 import urllib.request
 
@@ -92,5 +93,36 @@
             self.assertFalse(run.is_running(pid, self.folder), name)
 
 
+class Replay(unittest.TestCase):
+    """Tests of the exit status of a replay, without a deployment."""
+
+    def replay_with(self, script):
+        """Replays a trace with a shell script in place of the replay program."""
+        with tempfile.TemporaryDirectory(prefix="mangoshift-launcher-") as name:
+            folder = pathlib.Path(name).resolve()
+            program = folder / "mangoshift"
+            program.write_text("#!/bin/sh\n" + script)
+            program.chmod(0o755)
+            (folder / "trace").mkdir()
+            trace = folder / "trace.jsonl"
+            trace.write_text('{"deployment": "sundarban"}\n')
+            with unittest.mock.patch.multiple(run, BUILD=folder, launch=unittest.mock.DEFAULT,
+                                              stop=lambda run_folder: []):
+                return run.replay(folder, [trace, trace])
+
+    def test_status_is_that_of_the_replay_if_it_wrote_a_report(self):
+        for status in (0, 1):
+            script = f"for report; do :; done; echo [] > $report; exit {status}"
+            self.assertEqual(status, self.replay_with(script))
+
+    def test_a_replay_without_a_report_is_a_failure(self):
+        self.assertEqual(2, self.replay_with("exit 2"))
+        self.assertEqual(3, self.replay_with("exit 0"))
+
+    # Guards against a replay that crashes and counts as passed.
+    def test_a_replay_that_a_signal_ends_is_a_failure(self):
+        self.assertEqual(3, self.replay_with("kill -SEGV $$"))
+
+
 if __name__ == "__main__":
     unittest.main()
