Count an answer with malformed coverage as one that misstates it

Found in reading: `mangoshift replay` judges the rows of each answer. An answer with status 200 and rows but without `shards` made it read a key that does not exist, and one with a field of another type made it end with an exception.

Cause: only the presence of `rows` was checked.

Change: missing or malformed fields are read as such, and the answer counts as one that misstates its coverage. The new test replaces and removes each field of a correct answer; it ended with "type must be boolean, but is string" before.

--- a/src/app/replayrows.cpp
+++ b/src/app/replayrows.cpp
@@ -1,5 +1,8 @@
 #include "app/replayrows.h"
 
+#include <cstdint>
+#include <optional>
+
 #include <nlohmann/json.hpp>
 
 namespace mangoshift {
@@ -10,12 +13,24 @@
 
 constexpr int StatusOk = 200;
 
+/// Returns a field, or null if there is no such field.
+Json fieldOf(const Json &json, const char *key)
+{
+    return json.is_object() && json.contains(key) ? json[key] : Json();
+}
+
 /// Returns a string field, or an empty string if there is no such field.
 std::string textOf(const Json &json, const char *key)
 {
-    return json.is_object() && json.contains(key) && json[key].is_string()
-        ? json[key].get<std::string>()
-        : std::string();
+    const Json field = fieldOf(json, key);
+    return field.is_string() ? field.get<std::string>() : std::string();
+}
+
+/// Returns a field that holds a count, or nothing if there is no such field.
+std::optional<std::uint64_t> countOf(const Json &json, const char *key)
+{
+    const Json field = fieldOf(json, key);
+    return field.is_number_unsigned() ? std::optional(field.get<std::uint64_t>()) : std::nullopt;
 }
 
 } // namespace
@@ -48,9 +63,21 @@
         return;
     }
     sample.end = SampleEnd::Answered;
-    sample.shardsRequested = answer["shards"].value("asked", std::uint64_t(0));
-    sample.shardsAnswered = answer["shards"].value("answered", std::uint64_t(0));
-    sample.extraRequests = answer.value("extra_requests", std::uint64_t(0));
+    const Json shardCounts = fieldOf(answer, "shards");
+    const auto requested = countOf(shardCounts, "asked");
+    const auto answered = countOf(shardCounts, "answered");
+    const Json missing = fieldOf(answer, "missing");
+    const Json complete = fieldOf(answer, "complete");
+    const bool isWellFormed = requested && answered && missing.is_array() && complete.is_boolean()
+        && answer["rows"].is_array();
+    // An answer that does not say what it covers counts as one that covers nothing.
+    sample.shardsRequested = requested.value_or(sample.shardsRequested);
+    sample.shardsAnswered = answered.value_or(0);
+    sample.extraRequests = countOf(answer, "extra_requests").value_or(0);
+    if (!isWellFormed) {
+        sample.misstatesCoverage = true;
+        return;
+    }
     const std::string requestId = textOf(answer, "request_id");
     const auto &replicas = m_replicas.at(service);
     std::set<std::string> shards;
@@ -59,15 +86,15 @@
         const auto shardReplicas = replicas.find(shard);
         if (!shards.insert(shard).second)
             sample.misstatesCoverage = true;
-        if (row.value("snapshot", Json()) != answer["snapshot"])
+        if (fieldOf(row, "snapshot") != fieldOf(answer, "snapshot"))
             sample.mixesSnapshots = true;
         if (textOf(row, "request") != requestId || shardReplicas == replicas.end()
             || shardReplicas->second.count(textOf(row, "target")) == 0)
             sample.hasForeignRows = true;
     }
     const bool isComplete = sample.shardsAnswered == sample.shardsRequested;
-    if (shards.size() != sample.shardsAnswered || answer.value("complete", false) != isComplete
-        || answer["missing"].size() != sample.shardsRequested - sample.shardsAnswered)
+    if (shards.size() != sample.shardsAnswered || complete.get<bool>() != isComplete
+        || missing.size() + sample.shardsAnswered != sample.shardsRequested)
         sample.misstatesCoverage = true;
 }
 
--- a/test/unit/replay_test.cpp
+++ b/test/unit/replay_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "app/replayreport.h"
 #include "app/replayrows.h"
@@ -193,6 +194,35 @@
         check("[" + x + R"(,{"shard":"y","snapshot":4,"target":"t0","request":"r"}])", 2, "[]");
         CHECK(sample.hasForeignRows);
     }
+    // Guards against a replay that ends on such an answer, or that lets it pass.
+    SECTION("an answer whose coverage is missing or malformed misstates it")
+    {
+        const std::string rows = "[" + x + "," + y + "]";
+        const auto whole = nlohmann::json::parse(answerOf(rows, 2, "[]").body);
+        for (const std::string field : {"complete", "shards", "missing", "rows"}) {
+            for (const nlohmann::json &value :
+                 {nlohmann::json("text"), nlohmann::json(-1), nlohmann::json(nullptr),
+                  nlohmann::json({{"a", 1}})}) {
+                HttpResponse response = answerOf(rows, 2, "[]");
+                nlohmann::json changed = whole;
+                changed[field] = value;
+                response.body = changed.dump();
+                sample = {};
+                checker.check("s", response, sample);
+                INFO(response.body);
+                CHECK(sample.misstatesCoverage);
+            }
+            if (field == "rows")
+                continue;
+            HttpResponse response = answerOf(rows, 2, "[]");
+            nlohmann::json changed = whole;
+            changed.erase(field);
+            response.body = changed.dump();
+            sample = {};
+            checker.check("s", response, sample);
+            CHECK(sample.misstatesCoverage);
+        }
+    }
     SECTION("a problem response stating that the request did not run is a refusal")
     {
         HttpResponse response;
