Treat a success with an empty receipt as spoilt

What callers saw: targets that answer with status 200 and an empty X-Server-Stamp left a query over three shards with one shard's records and status 200, below the coverage that its route requires. Found in reading; shown with a stand-in.

Cause: the response was judged by the presence of the header. The exchange then took an empty receipt for "not answered yet" and left a part out of the merged answer that counted towards its coverage. The same confusion made the log name a target as missing whenever it had answered 404, which carries no stamp.

Change: an empty receipt counts as none, and whether a part is answered is a state of its own.

Result: the stand-in learns the modes "no-stamp" and "unknown". Both tests fail on the program before ("200 == 502"; missing=s1@... on a 404) and pass now.

--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -240,7 +240,7 @@
     if (m_isFinished)
         return;
     const Clock::time_point now = Clock::now();
-    const bool isNeeded = m_parts[action.part].receipt.empty();
+    const bool isNeeded = !m_parts[action.part].isAnswered;
     if (action.cause == SendCause::Hedge && !isNeeded)
         m_machine->onHedgeDropped(action.part);
     else if (isGranted)
@@ -427,7 +427,7 @@
     }
     m_route.partLatencies.record(
         std::chrono::duration_cast<std::chrono::microseconds>(now - reply.sentAt));
-    if (state.receipt.empty()) {
+    if (!std::exchange(state.isAnswered, true)) {
         state.receipt = reply.response.headers.value(m_state.adapter.headers.receipt);
         if (fanOut() != nullptr)
             state.body = std::move(reply.response.body);
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -56,7 +56,9 @@
         bool isWaiting = false;
         /// Whether any copy has arrived, or may still arrive, at a target.
         bool mayHaveArrived = false;
-        /// The receipt in the first successful response; empty until then.
+        /// Whether a response that counts as an answer has arrived.
+        bool isAnswered = false;
+        /// The receipt in that response. A part of a merged answer always has one.
         std::string receipt;
         std::string body;
     };
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -63,7 +63,7 @@
     std::vector<std::string_view> bodies;
     std::string receipts;
     for (const Part &part : m_parts) {
-        if (part.receipt.empty())
+        if (!part.isAnswered)
             continue;
         bodies.push_back(part.body);
         receipts += (receipts.empty() ? "" : ", ") + part.receipt;
@@ -159,7 +159,7 @@
 {
     std::string missing;
     for (const Part &part : m_parts) {
-        if (!part.receipt.empty())
+        if (part.isAnswered)
             continue;
         missing += (missing.empty() ? "" : ",") + part.service;
         for (const Copy &copy : part.copies)
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -30,7 +30,7 @@
     if (response.headers.contains("content-encoding"))
         return true;
     const bool isSuccess = response.status >= 200 && response.status < 300;
-    return isSuccess && !response.headers.contains(names.receipt);
+    return isSuccess && response.headers.value(names.receipt).empty();
 }
 
 TargetDirectory::TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -249,8 +249,7 @@
                                 isHead ? "Name: value\r\n" : std::string(EndlessBytes, '.'));
         return;
     }
-    const int status = isInTime ? 200 : 504;
-    const std::string bytes = formatResponse(job.requestId, mode == "fail" ? 500 : status);
+    const std::string bytes = formatResponse(job.requestId, statusFor(isInTime));
     if (mode == "cut") {
         connection->send(bytes.substr(0, bytes.size() - ServerRecordBytes));
         connection->close();
@@ -259,6 +258,15 @@
     }
 }
 
+int Server::statusFor(bool isInTime) const
+{
+    if (mode == "fail")
+        return 500;
+    if (mode == "unknown")
+        return 404;
+    return isInTime ? 200 : 504;
+}
+
 void Server::addLeavingHeader(HttpResponse &response) const
 {
     if (mode == "leaving")
@@ -270,8 +278,11 @@
     HttpResponse response;
     response.status = status;
     response.headers.add("X-Request-Id", requestId);
-    response.headers.add("X-Server-Stamp",
-                         m_id + "." + requestId + "." + std::to_string(++m_responses));
+    if (mode == "no-stamp")
+        response.headers.add("X-Server-Stamp", "");
+    else if (mode != "unknown")
+        response.headers.add("X-Server-Stamp",
+                             m_id + "." + requestId + "." + std::to_string(++m_responses));
     addLeavingHeader(response);
     response.body = serverRecords(m_service, requestId, m_options.hasPerRequestRecords);
     std::string bytes;
--- a/standins/fakeservers/server.h
+++ b/standins/fakeservers/server.h
@@ -61,8 +61,9 @@
     /// and closes the connection), "fail" (runs the request, responds with 500), "mute" (runs the
     /// request, never responds), "slow" (takes five times as long), "endless-head" and
     /// "endless-body" (runs the request, then sends headers or a body until the connection is
-    /// closed), "leaving" (says in each response that it leaves) and "pause" (refuses with 503,
-    /// asking for a pause).
+    /// closed), "leaving" (says in each response that it leaves), "pause" (refuses with 503,
+    /// asking for a pause), "no-stamp" (runs the request, responds with an empty stamp) and
+    /// "unknown" (runs the request, responds with 404 without a stamp).
     std::string mode = "ok";
     /// The number of requests received, except health checks.
     std::uint64_t arrivals = 0;
@@ -91,6 +92,7 @@
     /// Sends the response that `mode` selects; a job that is not in time gets a 504 response.
     void respondTo(const Job &job, bool isInTime);
     std::chrono::milliseconds remainingPause(Clock::time_point now) const;
+    int statusFor(bool isInTime) const;
     void addLeavingHeader(HttpResponse &response) const;
     std::string formatResponse(const std::string &requestId, int status);
     void recordEvent(const char *event, const std::string &requestId,
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -207,7 +207,7 @@
         "another replica is used if one loses or cuts its response, is silent, refuses or fails")
     {
         for (const std::string mode :
-             {"lose", "mute", "fail", "shed", "cut", "endless-head", "endless-body"}) {
+             {"lose", "mute", "fail", "shed", "cut", "endless-head", "endless-body", "no-stamp"}) {
             system.setTargetMode("i-s1a", mode);
             for (int i = 0; i < 4; ++i) {
                 const auto response = system.sendRequest("GET", "/all/x", mode + std::to_string(i));
@@ -229,17 +229,44 @@
             CHECK(response->get_header_value("X-Request-Id") == id);
         }
     }
-    SECTION("coverage below the minimum is an error")
-    {
-        system.setTargetMode("i-s3a", "lose");
-        system.setTargetMode("i-s2a", "lose");
-        system.setTargetMode("i-s2b", "lose");
-        const auto response = system.sendRequest("GET", "/all/x", "uncovered");
-        REQUIRE(response);
-        CHECK(response->status == 502);
+    // With "no-stamp", guards against a success with an empty stamp that counts as an answer.
+    for (const std::string mode : {"lose", "no-stamp"}) {
+        DYNAMIC_SECTION("coverage below the minimum is an error, in mode " << mode)
+        {
+            system.setTargetMode("i-s3a", mode);
+            system.setTargetMode("i-s2a", mode);
+            system.setTargetMode("i-s2b", mode);
+            const auto response = system.sendRequest("GET", "/all/x", "uncovered");
+            REQUIRE(response);
+            CHECK(response->status == 502);
+        }
     }
 }
 
+// Guards against a log that names a target as missing although its response was passed on.
+TEST_CASE("A response without a stamp that is not a success is passed on and not logged as missing")
+{
+    EntrySystem system;
+    system.setTargetMode("i-s1a", "unknown");
+    system.setTargetMode("i-s1b", "unknown");
+    int requests = 0;
+    std::string line;
+    // One of some 64 ordinary requests is logged.
+    CHECK(eventually([&] {
+        const std::string id = "unknown-" + std::to_string(++requests);
+        const auto response = system.sendRequest("GET", "/changing/x", id);
+        REQUIRE(response);
+        CHECK(response->status == 404);
+        CHECK(system.targetsThatRan(id).size() == 1);
+        std::istringstream lines(system.log());
+        for (std::string each; std::getline(lines, each);)
+            line = contains(each, "status=404") ? each : line;
+        return !line.empty();
+    }));
+    CHECK(contains(line, "outcome=complete"));
+    CHECK(contains(line, "missing=\"\" "));
+}
+
 // Guards against a target that keeps its share of the requests although none of its answers ends.
 TEST_CASE("A target whose answers never end gets few requests")
 {
