Explain a missing shard with the targets that it has lost

Cause: `mangoshift explain` lists earlier events of the targets that a request tried, and of a service that it was not sent to only those that said they leave, asked for a pause or fail. If a shard had no target at all, the explanation said "no other target is known" and did not show which ones were removed, or when.

Change: each event after which a target is not used counts, whichever it is. At most the twelve latest events of targets are listed.

--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -33,6 +33,9 @@
                                                           {"retry_budget_spent", "budget"},
                                                           {"retry_budget_back", "budget"}};
 
+/// How many of the latest events of targets an explanation lists.
+constexpr std::size_t MaxTargetLines = 12;
+
 const std::map<std::string, std::string> ReasonTexts{
     {"ok", "all requested parts arrived in time"},
     {"deadline_exceeded", "its deadline passed before enough responses had arrived"},
@@ -209,20 +212,26 @@
     const auto targets = failedTargetsOf(endEvent);
     const auto unsent = unsentServicesOf(endEvent);
     const auto isAboutUnsent = [&unsent](const LogLine &line) {
-        const bool closesTarget = line.event == "target_leaving" || line.event == "target_pauses"
-            || line.event == "target_failing";
+        const bool closesTarget = line.event != "target_listed" && line.event != "target_answers";
         return closesTarget
             && std::binary_search(unsent.begin(), unsent.end(), line.value("service"));
     };
+    const auto isEarlier = [](const LogLine &x, const LogLine &y) { return x.time < y.time; };
     std::vector<LogLine> lines;
+    std::vector<LogLine> targetLines;
     for (const auto &[key, line] : background) {
         const std::string target = line.value("target");
-        if (target.empty() || std::binary_search(targets.begin(), targets.end(), target)
-            || isAboutUnsent(line))
+        if (target.empty())
             lines.push_back(line);
+        else if (std::binary_search(targets.begin(), targets.end(), target) || isAboutUnsent(line))
+            targetLines.push_back(line);
     }
-    std::stable_sort(lines.begin(), lines.end(),
-                     [](const LogLine &a, const LogLine &b) { return a.time < b.time; });
+    std::stable_sort(targetLines.begin(), targetLines.end(), isEarlier);
+    // A service may have lost many targets since the start of the log.
+    const std::size_t kept = std::min(targetLines.size(), MaxTargetLines);
+    lines.insert(lines.end(), targetLines.end() - static_cast<std::ptrdiff_t>(kept),
+                 targetLines.end());
+    std::stable_sort(lines.begin(), lines.end(), isEarlier);
     for (const LogLine &line : lines)
         explanation.background.push_back(summaryOf(line));
     return explanation;
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -239,6 +239,10 @@
         return std::stoi(result->body);
     }
 
+    std::string logPath(int vm = 1) const
+    {
+        return m_folder + "/vm-" + std::to_string(vm) + ".log";
+    }
     std::string log(int vm = 1) const
     {
         std::ostringstream text;
@@ -268,7 +272,6 @@
 
 private:
     static std::string lastOctetOf(int vm) { return std::to_string(2 + vm); }
-    std::string logPath(int vm) const { return m_folder + "/vm-" + std::to_string(vm) + ".log"; }
     static std::string loopbackIp(const std::string &lastOctet)
     {
         const char *offset = std::getenv("MANGOSHIFT_NET_OFFSET");
--- a/test/unit/explanation_test.cpp
+++ b/test/unit/explanation_test.cpp
@@ -141,6 +141,27 @@
               == "after 0 ms: waits for a target of s1, as each one fails and is being probed");
         CHECK(contains(toText(found), "target_failing service=s1 target=i-d"));
     }
+    SECTION(
+        "a shard without targets is explained with its latest lost ones, however many there were")
+    {
+        std::string delisted = Background;
+        for (int i = 100; i < 200; ++i)
+            delisted += "time=2026-12-04T10:00:01." + std::to_string(i)
+                + "Z level=INFO event=target_delisted target=i-" + std::to_string(i)
+                + " service=s7\n";
+        std::istringstream lines(delisted
+                                 + "time=2026-12-04T10:00:02.000Z level=INFO event=request_ended "
+                                   "request=q1 route=r config_version=3 outcome=partial status=200 "
+                                   "execution=ran reason=ok took_ms=1 parts=19/20 hedges=0 "
+                                   "retries=0 denied=0 missing=s7 trace=0:not_sent:s7:no_target\n");
+        RequestSearch search("q1");
+        search.read("vm-1", lines);
+        const std::string text = toText(onlyExplanation(search));
+        CHECK(contains(text, "configuration_adopted"));
+        CHECK(contains(text, "target_delisted service=s7 target=i-199"));
+        CHECK(contains(text, "target=i-190"));
+        CHECK_FALSE(contains(text, "target=i-150"));
+    }
     SECTION("a request that is in no log is not explained, and dropped lines are counted")
     {
         RequestSearch search("other");
