Keep a quarter of the log for what explains failed requests

What operators saw: while many requests fail, their lines use up the 200 lines a second of a VM's log. Lines such as target_failing or store_lost are then left out, and with them the cause.

Cause: one budget for all lines but warnings, and a count of what was left out that did not say what it was.

Change: LogBudget decides which lines are written. Lines about requests, those with a field `request`, may use three quarters of the limits. Limits of lines and of bytes a second are settings of both kinds of VM and take effect without a restart. What was left out is counted by event, in the line that reports it, in the state dump and in mangoshift_log_lines_left_out_total{event}.

--- a/src/app/entry.cpp
+++ b/src/app/entry.cpp
@@ -17,8 +17,8 @@
     "\n"
     "Runs an entry VM on a platform with a store until SIGTERM or SIGINT, then stops gracefully.\n"
     "On SIGHUP, or when the settings file changes, it reloads the settings, applies changes to\n"
-    "log_level, stop_patience_ms, retry_budget, reply_margin_ms and seeds, and logs which other\n"
-    "changes need a restart.\n"
+    "log_level, log_lines_per_s, log_bytes_per_s, stop_patience_ms, retry_budget, reply_margin_ms\n"
+    "and seeds, and logs which other changes need a restart.\n"
     "\n"
     "  -s, --settings FILE  settings of the process, in JSON\n"
     "  -h, --help           print this text\n";
@@ -27,6 +27,7 @@
 void apply(EntryVm &vm, EntrySettings &inForce, const EntrySettings &updated)
 {
     inForce.logLevel = updated.logLevel;
+    inForce.logLimits = updated.logLimits;
     inForce.stopTimeout = updated.stopTimeout;
     inForce.retryBudget = updated.retryBudget;
     inForce.replyMargin = updated.replyMargin;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -15,15 +15,17 @@
     "\n"
     "Runs an entry VM until SIGTERM or SIGINT, then stops gracefully.\n"
     "On SIGHUP, or when the settings file changes, it reloads the settings,\n"
-    "applies log_level and logs which other changes need a restart.\n"
+    "applies log_level, log_lines_per_s and log_bytes_per_s, and logs which other\n"
+    "changes need a restart.\n"
     "\n"
     "  -s, --settings FILE  settings of the process, in JSON\n"
     "  -h, --help           print this text\n";
 
-/// Records the settings that need no restart; `runVm` has already set the log level.
+/// Records the settings that need no restart; `runVm` has already applied those of the log.
 void apply(ServeVm & /*vm*/, Settings &inForce, const Settings &updated)
 {
     inForce.logLevel = updated.logLevel;
+    inForce.logLimits = updated.logLimits;
 }
 
 } // namespace
--- a/src/app/vmrun.h
+++ b/src/app/vmrun.h
@@ -23,13 +23,13 @@
     auto inForce = loadSettings(command, path, parse);
     if (!inForce)
         return inForce.error();
-    startLogging(inForce->logLevel);
+    startLogging(inForce->logLevel, inForce->logLimits);
     decltype(makeVm(*inForce)) vm;
     ProcessSignals signals(path, [&] {
         const auto updated = reloadSettings(path, parse);
         if (!updated)
             return;
-        setLogLevel(updated->logLevel);
+        setLogOptions(updated->logLevel, updated->logLimits);
         logEvent(LogLevel::Info, "settings_reloaded", {{"vm", updated->vm}});
         for (const std::string &field : fieldsThatNeedRestart(*inForce, *updated))
             logEvent(LogLevel::Warning, "settings_need_restart", {{"field", field}});
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -76,7 +76,7 @@
 
 } // namespace
 
-void startLogging(LogLevel level)
+void startLogging(LogLevel level, LogLimits limits)
 {
     // Never deleted: the writer thread may still be blocked when the process ends.
     auto *started = new Logging;
@@ -86,7 +86,7 @@
     started->logger.addAppender(appender);
     started->logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
     started->writer = std::make_unique<LogWriter>(
-        LogWriterOptions{},
+        LogWriterOptions{.limits = limits},
         [logger = started->logger](const LogRecord &line) { writeLine(logger, line); });
     minimumLevel = level;
     logging = started;
@@ -111,9 +111,17 @@
     return started == nullptr ? 0 : started->writer->droppedLines();
 }
 
-void setLogLevel(LogLevel level)
+LogLineCounts droppedLogLinesByEvent()
+{
+    const Logging *started = logging;
+    return started == nullptr ? LogLineCounts() : started->writer->droppedLinesByEvent();
+}
+
+void setLogOptions(LogLevel level, LogLimits limits)
 {
     minimumLevel = level;
+    if (const Logging *started = logging)
+        started->writer->setLimits(limits);
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
@@ -122,13 +130,17 @@
     if (started == nullptr || level < minimumLevel)
         return;
     std::string line = "event=" + std::string(event);
+    LogTopic topic = LogTopic::Vm;
     for (const auto &[key, value] : fields) {
+        if (key == "request")
+            topic = LogTopic::Request;
         line += ' ';
         line += key;
         line += '=';
         appendValue(line, value);
     }
-    started->writer->tryWrite({level, std::chrono::system_clock::now(), std::move(line)});
+    started->writer->tryWrite(
+        {level, std::chrono::system_clock::now(), std::move(line), std::string(event), topic});
 }
 
 } // namespace mangoshift
--- a/src/base/logwriter.cpp
+++ b/src/base/logwriter.cpp
@@ -12,12 +12,20 @@
 /// The minimum time between two reports of dropped lines.
 constexpr std::chrono::seconds ReportInterval{1};
 
+std::uint64_t sumOf(const LogLineCounts &counts)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[event, lines] : counts)
+        sum += lines;
+    return sum;
+}
+
 } // namespace
 
 LogWriter::LogWriter(LogWriterOptions options, Sink sink)
-    : m_options(options)
-    , m_sink(std::move(sink))
+    : m_sink(std::move(sink))
     , m_ring(options.capacity)
+    , m_budget(options.limits)
     , m_thread([this] { run(); })
 {
 }
@@ -28,35 +36,46 @@
     m_thread.join();
 }
 
-bool LogWriter::tryConsumeBudget(LogLevel level)
+void LogWriter::setLimits(LogLimits limits)
 {
-    const std::int64_t second = Clock::now().time_since_epoch() / std::chrono::seconds(1);
-    if (m_budgetSecond.exchange(second) != second)
-        m_linesInSecond = 0;
-    const std::uint32_t maxLines =
-        level >= LogLevel::Warning ? 2 * m_options.linesPerSecond : m_options.linesPerSecond;
-    // Dropped lines do not count, so that they do not use up the budget of warnings and errors.
-    if (m_linesInSecond >= maxLines)
-        return false;
-    ++m_linesInSecond;
-    return true;
+    const std::lock_guard lock(m_budgetMutex);
+    m_budget.setLimits(limits);
 }
 
 bool LogWriter::tryWrite(LogRecord line)
 {
-    if (tryConsumeBudget(line.level)) {
-        const auto push = m_ring.tryPush(line);
-        if (push == BoundedRing<LogRecord>::Push::First) {
-            // Notify under the mutex: otherwise the writer could miss the notification between
-            // checking its condition and starting to wait.
-            const std::lock_guard lock(m_mutex);
-            m_wake.notify_one();
+    const std::string event = line.event;
+    {
+        const std::lock_guard lock(m_budgetMutex);
+        if (!m_budget.tryConsume(line.level, line.topic, line.text.size(), Clock::now())) {
+            ++m_droppedLines[event];
+            return false;
         }
-        if (push != BoundedRing<LogRecord>::Push::Full)
-            return true;
     }
-    ++m_droppedLines;
-    return false;
+    const auto push = m_ring.tryPush(line);
+    if (push == BoundedRing<LogRecord>::Push::Full) {
+        const std::lock_guard lock(m_budgetMutex);
+        ++m_droppedLines[event];
+        return false;
+    }
+    if (push == BoundedRing<LogRecord>::Push::First) {
+        // Notify under the mutex: otherwise the writer could miss the notification between checking
+        // its condition and starting to wait.
+        const std::lock_guard lock(m_mutex);
+        m_wake.notify_one();
+    }
+    return true;
+}
+
+std::uint64_t LogWriter::droppedLines() const
+{
+    return sumOf(droppedLinesByEvent());
+}
+
+LogLineCounts LogWriter::droppedLinesByEvent() const
+{
+    const std::lock_guard lock(m_budgetMutex);
+    return m_droppedLines;
 }
 
 bool LogWriter::stop(std::chrono::milliseconds timeout)
@@ -88,15 +107,24 @@
 
 void LogWriter::reportDroppedLines(bool isLast)
 {
-    const std::uint64_t droppedLines = m_droppedLines;
     const Clock::time_point now = Clock::now();
-    if (droppedLines == m_reportedDroppedLines || (now - m_reportedAt < ReportInterval && !isLast))
+    if (now - m_reportedAt < ReportInterval && !isLast)
         return;
-    m_sink(
-        {LogLevel::Warning, std::chrono::system_clock::now(),
-         "event=log_lines_left_out lines=" + std::to_string(droppedLines - m_reportedDroppedLines)
-             + " since_start=" + std::to_string(droppedLines)});
-    m_reportedDroppedLines = droppedLines;
+    const LogLineCounts dropped = droppedLinesByEvent();
+    const std::uint64_t total = sumOf(dropped);
+    const std::uint64_t newLines = total - sumOf(m_reportedLines);
+    if (newLines == 0)
+        return;
+    std::string counts;
+    for (const auto &[event, lines] : dropped) {
+        const std::uint64_t newOfEvent = lines - m_reportedLines[event];
+        if (newOfEvent > 0 && !event.empty())
+            counts += (counts.empty() ? "" : ",") + event + ":" + std::to_string(newOfEvent);
+    }
+    m_sink({LogLevel::Warning, std::chrono::system_clock::now(),
+            "event=log_lines_left_out lines=" + std::to_string(newLines) + " since_start="
+                + std::to_string(total) + (counts.empty() ? "" : " by_event=" + counts)});
+    m_reportedLines = dropped;
     m_reportedAt = now;
 }
 
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -70,6 +70,8 @@
     , droppedLogLines(
           gauges(*m_registry, "mangoshift_log_lines_left_out", "Log lines left out since the start")
               .Add({}))
+    , droppedLogLinesByEvent(counters(*m_registry, "mangoshift_log_lines_left_out_total",
+                                      "Log lines left out, by event"))
     , storeReads(counters(*m_registry, "mangoshift_store_reads_total", "Reads of the store"))
     , peerReads(counters(*m_registry, "mangoshift_peer_reads_total",
                          "Questions to other VMs for the state of the store"))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -73,6 +73,8 @@
     prometheus::Gauge &stateAge;
     /// Log lines dropped since the start.
     prometheus::Gauge &droppedLogLines;
+    /// The same by `event`.
+    prometheus::Family<prometheus::Counter> &droppedLogLinesByEvent;
     /// Reads of the store, by `outcome` (`ok`, `refused`, `failed`, `history_gone`).
     prometheus::Family<prometheus::Counter> &storeReads;
     /// Requests to other VMs for the state of the store, by `outcome` (`ok`, `failed`).
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -73,6 +73,7 @@
     if (json.contains("placement"))
         settings.placement = readPlacement(json.at("placement"));
     settings.logLevel = readLogLevel(json.value("log_level", "info"));
+    settings.logLimits = readLogLimits(json);
     if (!faults.empty())
         return tl::make_unexpected(std::move(faults));
     return settings;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -47,6 +47,7 @@
     bool isAdmissionEnabled = true;
     Mechanisms mechanisms;
     LogLevel logLevel = LogLevel::Info;
+    LogLimits logLimits;
     /// Which VMs send requests to which targets (`placement`: `region`, `domain` or `local`). Must
     /// be the same on all VMs.
     PlacementPolicy placement = RegionHomes{};
--- a/src/config/settingsfields.cpp
+++ b/src/config/settingsfields.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 namespace mangoshift {
 
 Address readAddressField(const std::string &text, const std::string &path, Faults &faults)
@@ -13,6 +15,14 @@
     return {};
 }
 
+LogLimits readLogLimits(const nlohmann::json &json)
+{
+    LogLimits limits;
+    limits.linesPerSecond = json.value("log_lines_per_s", limits.linesPerSecond);
+    limits.bytesPerSecond = json.value("log_bytes_per_s", limits.bytesPerSecond);
+    return limits;
+}
+
 LogLevel readLogLevel(const std::string &name)
 {
     if (name == "debug")
--- a/src/config/settingsfields.h
+++ b/src/config/settingsfields.h
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "base/address.h"
 #include "base/log.h"
 #include "config/fault.h"
@@ -12,6 +14,9 @@
 /// address.
 Address readAddressField(const std::string &text, const std::string &path, Faults &faults);
 
+/// Reads `log_lines_per_s` and `log_bytes_per_s`, which have been checked against the schema.
+LogLimits readLogLimits(const nlohmann::json &json);
+
 /// Converts `debug`, `info`, `warning` or `error`; the schema rejects other names beforehand.
 LogLevel readLogLevel(const std::string &name);
 
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -280,11 +280,23 @@
     m_state.budgets.sweep(now);
     updateReachability(now);
     m_state.metrics.requestsInFlight.Set(static_cast<double>(m_exchanges.size()));
-    m_state.metrics.droppedLogLines.Set(static_cast<double>(droppedLogLines()));
+    updateLogMetrics();
     if (m_isLeaving)
         sweepLeaving(now);
 }
 
+void EntryDuty::updateLogMetrics()
+{
+    double total = 0;
+    for (const auto &[event, count] : droppedLogLinesByEvent()) {
+        const auto lines = static_cast<double>(count);
+        auto &counter = m_state.metrics.droppedLogLinesByEvent.Add({{"event", event}});
+        counter.Increment(lines - counter.Value());
+        total += lines;
+    }
+    m_state.metrics.droppedLogLines.Set(total);
+}
+
 void EntryDuty::sweepLeaving(Clock::time_point now)
 {
     if (now - m_leavingSince < AcceptWhileLeaving && now < m_leaveDeadline - FinalResponseMargin)
@@ -319,6 +331,7 @@
                                         {"foreign_answers", counts.unexpectedResponses},
                                         {"gone_silent", counts.silent}};
     state["log_lines_left_out"] = droppedLogLines();
+    state["log_lines_left_out_by_event"] = droppedLogLinesByEvent();
     const Clock::time_point now = Clock::now();
     for (const auto &[id, handle] : m_state.directory.targets())
         state["targets"][id] = {{"service", handle->info.service},
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -120,6 +120,7 @@
     void sweep();
     /// Closes the connections of a leaving VM, and ends pending requests shortly before the
     /// deadline.
+    void updateLogMetrics();
     void sweepLeaving(Clock::time_point now);
     std::string stateJson() const;
 
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -69,6 +69,7 @@
     settings.targetReportInterval =
         milliseconds(json.value("target_report_ms", settings.targetReportInterval.count()));
     settings.logLevel = readLogLevel(json.value("log_level", "info"));
+    settings.logLimits = readLogLimits(json);
     if (!faults.empty())
         return tl::make_unexpected(std::move(faults));
     return settings;
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -51,6 +51,7 @@
     /// How often a target writes its entry. It expires after three intervals of silence.
     std::chrono::milliseconds targetReportInterval{1200};
     LogLevel logLevel = LogLevel::Info;
+    LogLimits logLimits;
 };
 
 /// Returns the names of the settings that differ and that take effect only after a restart.
--- a/test/unit/config_test.cpp
+++ b/test/unit/config_test.cpp
@@ -163,9 +163,12 @@
         json["mechanisms"] = {{"home_hedges", "off"}, {"hedges", false}};
         CHECK(parseSettings(json.dump()).error().size() == 2);
     }
-    SECTION("a changed address needs a restart, a changed log level does not")
+    SECTION("a changed address needs a restart, changed settings of the log do not")
     {
         json["log_level"] = "debug";
+        json["log_lines_per_s"] = 20;
+        json["log_bytes_per_s"] = 30000;
+        CHECK(parseSettings(json.dump())->logLimits == LogLimits{20, 30000});
         CHECK(fieldsThatNeedRestart(*settings, *parseSettings(json.dump())).empty());
         json["peer_address"] = "127.0.0.1:9";
         CHECK(fieldsThatNeedRestart(*settings, *parseSettings(json.dump()))
--- a/test/unit/logwriter_test.cpp
+++ b/test/unit/logwriter_test.cpp
@@ -87,3 +87,30 @@
     clock.advance(1s);
     CHECK(writer.tryWrite(makeLine("four")));
 }
+
+TEST_CASE("Dropped log lines are counted and reported by event")
+{
+    const PausedClock clock;
+    std::vector<std::string> written;
+    LogWriter writer({100, {2, 1000}},
+                     [&](const LogRecord &line) { written.push_back(line.text); });
+    const auto write = [&writer](const std::string &event, LogTopic topic) {
+        LogRecord line = makeLine("event=" + event);
+        line.event = event;
+        line.topic = topic;
+        return writer.tryWrite(std::move(line));
+    };
+    CHECK(write("request_ended", LogTopic::Request));
+    for (int i = 0; i < 3; ++i)
+        CHECK_FALSE(write("request_ended", LogTopic::Request));
+    CHECK(write("target_failing", LogTopic::Vm));
+    CHECK_FALSE(write("target_answers", LogTopic::Vm));
+
+    CHECK(writer.droppedLines() == 4);
+    CHECK(writer.droppedLinesByEvent()
+          == LogLineCounts{{"request_ended", 3}, {"target_answers", 1}});
+    REQUIRE(writer.stop(20s));
+    CHECK(written.back()
+          == "event=log_lines_left_out lines=4 since_start=4 "
+             "by_event=request_ended:3,target_answers:1");
+}
