Keep a draining target out of use when it answers an earlier request

What callers saw: none wrong, but a target that drains got requests again, each of which it refused and another target had to take.

Cause: every answer brought a target that was not in use back into use. A draining one finishes what it had begun before, so each home that had several requests there restored it. The header promises that only a health check does.

The new unit test ends one of two calls with a refusal and the other with an answer: the condition became active, and 500 of 500 further requests went there.

Ruled out: that other events restore it. Ejections and unreachable targets only change the condition of an active target.

Change: an answer does not change the condition of a draining target.

Result: both tests pass.

--- a/src/core/slotschedulertargets.cpp
+++ b/src/core/slotschedulertargets.cpp
@@ -200,6 +200,8 @@
     target.health.onSuccess(latency, now);
     if (typical.count() == 0 || latency <= typical * NormalLatencyFactor)
         target.limit.onSuccess();
+    if (target.health.condition() == TargetCondition::Draining)
+        return; // It finishes what it had begun before it started to drain.
     if (target.health.condition() == TargetCondition::Active) {
         tryEject(call, TargetCondition::Slow, now);
     } else if (target.health.condition() != TargetCondition::Slow
--- a/test/unit/slotscheduler_invariants_test.cpp
+++ b/test/unit/slotscheduler_invariants_test.cpp
@@ -40,6 +40,8 @@
             if (randomInt(0, 99) < 3)
                 perform(
                     m_scheduler.onCancel(static_cast<ShardRequestId>(randomInt(1, i + 1)), m_now));
+            if (randomInt(0, 99) < 10)
+                reportServing();
             if (randomInt(0, 99) < 2)
                 perform(m_scheduler.applyDocument(makeDocument(randomInt(1, m_replicas)), m_now));
         }
@@ -71,6 +73,11 @@
         int extra() const { return std::max(copies - 1 - unsent, 0); }
     };
 
+    bool isDraining(const std::string &target) const
+    {
+        return std::find(m_draining.begin(), m_draining.end(), target) != m_draining.end();
+    }
+
     int randomInt(int least, int most)
     {
         return std::uniform_int_distribution(least, most)(m_random);
@@ -96,6 +103,11 @@
         }
         document.services.push_back(service);
         m_targets = document.targets;
+        // What is known of a target ends with its removal.
+        std::erase_if(m_draining, [this](const std::string &name) {
+            return std::none_of(m_targets.begin(), m_targets.end(),
+                                [&name](const Target &each) { return each.name == name; });
+        });
         return std::make_shared<IndexedDocument>(std::move(document));
     }
 
@@ -114,6 +126,16 @@
         perform(m_scheduler.onRequest(std::move(request), m_now));
     }
 
+    /// Lets the target that has drained longest report that it serves again.
+    void reportServing()
+    {
+        if (m_draining.empty())
+            return;
+        const std::string target = m_draining.front();
+        m_draining.erase(m_draining.begin());
+        perform(m_scheduler.onServing(target, m_now));
+    }
+
     void advance(Clock::duration step)
     {
         const Clock::time_point end = m_now + step;
@@ -149,6 +171,9 @@
         tracked.unsent += inFlightCall.outcome.wasSent ? 0 : 1;
         m_extraCopies += tracked.extra() - before;
         tracked.mayHaveRun |= inFlightCall.outcome.verdict.execution != Execution::NotRun;
+        if (inFlightCall.outcome.verdict.reason == Reason::Draining
+            && !isDraining(inFlightCall.target))
+            m_draining.push_back(inFlightCall.target);
         perform(m_scheduler.onCallEnded(call, std::move(inFlightCall.outcome), m_now));
     }
 
@@ -183,6 +208,7 @@
         const Target &target = m_targets.at(send.target);
         TrackedRequest &tracked = m_requests.at(send.request.id);
         REQUIRE(tracked.replies == 0);
+        REQUIRE_FALSE(isDraining(target.name));
         REQUIRE(++m_inUse[target.name] <= static_cast<int>(target.slots));
         if (!send.request.failureDomain.empty())
             REQUIRE(target.failureDomain == send.request.failureDomain);
@@ -237,6 +263,8 @@
     std::map<ShardRequestId, TrackedRequest> m_requests;
     std::map<CallId, InFlightCall> m_inFlightCalls;
     std::map<std::string, int> m_inUse;
+    /// Targets that have said that they drain, in this order, and not yet that they serve again.
+    std::vector<std::string> m_draining;
     int m_firstCopies = 0;
     int m_extraCopies = 0;
 };
--- a/test/unit/slotscheduler_test.cpp
+++ b/test/unit/slotscheduler_test.cpp
@@ -280,6 +280,37 @@
     }
 }
 
+// Guards against requests to a target that leaves, which each of its last answers brought back.
+TEST_CASE("A draining target stays out of use while it answers earlier requests")
+{
+    SchedulerHarness harness(2);
+    harness.serve(150, {milliseconds(5), milliseconds(5)});
+    // Two requests to each target are under way at the same time.
+    std::vector<SendToTarget> sent;
+    for (int i = 0; i < 4; ++i) {
+        harness.submit();
+        REQUIRE(harness.sent.size() == 1);
+        sent.push_back(harness.sent.front());
+    }
+    const std::size_t draining = sent.front().target;
+    std::vector<CallId> calls;
+    for (const SendToTarget &each : sent)
+        if (each.target == draining)
+            calls.push_back(each.call);
+    REQUIRE(calls.size() == 2);
+    harness.endCall(calls[0], DrainingRefusal);
+    harness.now += milliseconds(5);
+    harness.endCall(calls[1], Answered);
+
+    CHECK(harness.status(draining).condition == TargetCondition::Draining);
+    for (const SendToTarget &each : sent)
+        if (each.target != draining)
+            harness.endCall(each.call, Answered);
+    const std::uint64_t before = harness.status(draining).callsSent;
+    harness.serve(500, {milliseconds(5), milliseconds(5)});
+    CHECK(harness.status(draining).callsSent == before);
+}
+
 TEST_CASE("A replica far slower than its peers is ejected")
 {
     SchedulerHarness harness(2);
