Measure what the log of a VM costs

`bench/targetnotices.py BUILD logging ENTRY` compares a VM that logs with one that logs errors only, calm and with more load than its targets bear, and gives the bytes of log a second.

--- a/bench/targetnotices.py
+++ b/bench/targetnotices.py
@@ -1,9 +1,11 @@
 #!/usr/bin/env python3
-"""Measures what entry VMs do with what targets say about themselves in their responses.
+"""Measures entry VMs on the stand-ins: what they do with what targets say about themselves in their
+responses, and what their logs cost.
 
 Usage: targetnotices.py BUILD_DIR cost ENTRY_A ENTRY_B [--rounds N] [--net N]
        targetnotices.py BUILD_DIR crest NAME=ENTRY... [--plot FILE] [--net N]
        targetnotices.py BUILD_DIR spread ENTRY [--vms N] [--net N]
+       targetnotices.py BUILD_DIR logging ENTRY [--rounds N] [--net N]
 
 ENTRY is a mangoshift program; the stand-ins are taken from BUILD_DIR. All processes run on
 127.NET.x.y.
@@ -12,6 +14,8 @@
 crest   Half of a service's targets ask for a pause for two seconds: what callers get, and the
         arrivals at those targets.
 spread  One target leaves: the requests that it still gets from a fleet of VMs.
+logging Processor time of a request, and bytes of log a second, of a VM that logs and of one that
+        logs errors only, which take turns: calm, and with three times the load that targets bear.
 """
 import argparse
 import asyncio
@@ -46,7 +50,7 @@
 class Deployment:
     """A store, targets of one service, and entry VMs."""
 
-    def __init__(self, build, entries, net, targets, options):
+    def __init__(self, build, entries, net, targets, options, vm_settings=None):
         self.build, self.net, self.processes = pathlib.Path(build).resolve(), net, []
         self.folder = tempfile.TemporaryDirectory()
         self.targets = [f"i-{each}" for each in range(targets)]
@@ -68,7 +72,8 @@
                         "max_attempts": 2, "service": "s"}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 20000}})
-        self.vms = [self.start_vm(number, entry) for number, entry in enumerate(entries)]
+        self.vms = [self.start_vm(number, entry, (vm_settings or {}).get(number, {}))
+                    for number, entry in enumerate(entries)]
         for number in range(len(entries)):
             self.retry(lambda: send(self.vm_ip(number) + f":{READY_PORT}", "GET", "/api/ready"))
 
@@ -78,13 +83,16 @@
     def vm_ip(self, number):
         return f"127.{self.net}.{2 + number // 200}.{1 + number % 200}"
 
-    def start(self, program, *arguments):
+    def start(self, program, *arguments, log_name="log"):
         path = program if "/" in str(program) else self.build / program
-        log = open(f"{self.folder.name}/log", "ab")
+        log = open(f"{self.folder.name}/{log_name}", "ab")
         self.processes.append(subprocess.Popen([str(path), *arguments], stdout=log, stderr=log))
         return self.processes[-1]
 
-    def start_vm(self, number, entry):
+    def log_bytes(self, number):
+        return pathlib.Path(f"{self.folder.name}/vm-{number}.log").stat().st_size
+
+    def start_vm(self, number, entry, changes):
         ip = self.vm_ip(number)
         settings = {"vm": f"vm-{number}", "failure_domain": f"d{number // VMS_PER_DOMAIN}",
                     "region": "r", "caller_address": f"{ip}:{CALLER_PORT}",
@@ -92,10 +100,11 @@
                     "operator_address": f"{ip}:{OPERATOR_PORT}",
                     "store_address": self.at(0, 1, STORE_PORT), "peer_address": f"{ip}:{PEER_PORT}",
                     "seeds": [f"{self.vm_ip(0)}:{PEER_PORT}"], "assumed_vms": 1,
-                    "retry_budget": {"ratio": 0.2, "slack": 50, "window_s": 10}}
+                    "retry_budget": {"ratio": 0.2, "slack": 50, "window_s": 10}, **changes}
         path = pathlib.Path(self.folder.name) / f"vm-{number}.json"
         path.write_text(json.dumps(settings))
-        return self.start(pathlib.Path(entry).resolve(), "entry", "--settings", str(path))
+        return self.start(pathlib.Path(entry).resolve(), "entry", "--settings", str(path),
+                          log_name=f"vm-{number}.log")
 
     @staticmethod
     def retry(action):
@@ -137,8 +146,8 @@
         self.folder.cleanup()
 
 
-async def call(ip, name, until, pause_s, record):
-    """Sends requests on a kept connection until `until`. Waits as Retry-After asks."""
+async def call(ip, name, until, pause_s, record, waits=True):
+    """Sends requests on a kept connection until `until`. Waits as Retry-After asks if `waits`."""
     reader = writer = None
     count = 0
     while time.monotonic() < until:
@@ -153,7 +162,7 @@
             fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
             await reader.readexactly(int(fields.get("content-length", 0)))
             record.append((sent_at, int(head.split(" ")[1]), time.monotonic() - sent_at))
-            await asyncio.sleep(float(fields.get("retry-after", 0)) or pause_s())
+            await asyncio.sleep(waits and float(fields.get("retry-after", 0)) or pause_s())
         except (OSError, asyncio.IncompleteReadError):
             writer = None
             await asyncio.sleep(0.05)
@@ -161,11 +170,11 @@
         writer.close()
 
 
-async def load(deployment, vms, clients, seconds, pause_s, actions=()):
+async def load(deployment, vms, clients, seconds, pause_s, actions=(), waits=True):
     """Runs clients against VMs, and actions at their times. Returns the start and the records."""
     record, start = [], time.monotonic()
     tasks = [asyncio.create_task(call(deployment.vm_ip(vm), f"{vm}-{client}", start + seconds,
-                                      pause_s, record))
+                                      pause_s, record, waits))
              for vm in vms for client in range(clients)]
     for at, action in actions:
         await asyncio.sleep(start + at - time.monotonic())
@@ -195,6 +204,40 @@
     print(f"second against first: {(second / first - 1) * 100:+.2f} %")
 
 
+def measure_logging(arguments):
+    levels = ["error", "info"]
+    calm = ("calm", [], 8, lambda: 0)
+    # The targets serve 4 * 3 requests in 20 ms, 600 a second.
+    crest = ("crest", ["--work-ms", "20", "--slots", "3", "--queue", "4"], 600, lambda: 0.02)
+    for phase, options, clients, pause_s in (calm, crest):
+        costs = {level: [] for level in levels}
+        logged = {level: [] for level in levels}
+        sent = []
+        with Deployment(arguments.build, arguments.entries * 2, arguments.net, 4, options,
+                        {n: {"log_level": level} for n, level in enumerate(levels)}) as deployment:
+            for turn in range(arguments.rounds + 1):
+                order = list(enumerate(levels))
+                for number, level in order if turn % 2 else reversed(order):
+                    pid = deployment.vms[number].pid
+                    before, bytes_before = processor_seconds(pid), deployment.log_bytes(number)
+                    _, record = asyncio.run(load(deployment, [number], clients, 2.0, pause_s,
+                                                 waits=False))
+                    if turn:  # The first round warms up.
+                        costs[level].append((processor_seconds(pid) - before) / len(record) * 1e6)
+                        logged[level].append((deployment.log_bytes(number) - bytes_before) / 2.0)
+                        sent.append((len(record), sum(each[1] != 200 for each in record)))
+        medians = {level: sorted(each)[len(each) // 2] for level, each in costs.items()}
+        print(json.dumps({
+            "phase": phase, "rounds": arguments.rounds,
+            "requests_per_s": round(sum(n for n, _ in sent) / len(sent) / 2.0),
+            "not_served_percent": round(100 * sum(n for _, n in sent) / sum(n for n, _ in sent), 1),
+            "median_us": {level: round(each, 2) for level, each in medians.items()},
+            "least_us": {level: round(min(each), 2) for level, each in costs.items()},
+            "log_bytes_per_s": {level: round(sum(each) / len(each))
+                                for level, each in logged.items()},
+            "logging_percent": round((medians["info"] / medians["error"] - 1) * 100, 2)}))
+
+
 def plot(path, series):
     """Draws the arrivals of each run as a line."""
     width, height, left, top = 720, 130, 60, 24
@@ -271,15 +314,15 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("build")
-    parser.add_argument("what", choices=["cost", "crest", "spread"])
+    parser.add_argument("what", choices=["cost", "crest", "spread", "logging"])
     parser.add_argument("entries", nargs="+")
     parser.add_argument("--rounds", type=int, default=9)
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--net", type=int, default=140)
     parser.add_argument("--plot")
     arguments = parser.parse_args()
-    {"cost": measure_cost, "crest": measure_crest, "spread": measure_spread}[arguments.what](
-        arguments)
+    {"cost": measure_cost, "crest": measure_crest, "spread": measure_spread,
+     "logging": measure_logging}[arguments.what](arguments)
 
 
 if __name__ == "__main__":
