--- a/test/unit/logbudget_test.cpp
+++ b/test/unit/logbudget_test.cpp
@@ -54,6 +54,8 @@
 {
     constexpr int runs = 2000;
     constexpr LogLimits limits{20, 4000};
+    constexpr std::uint64_t maxLines = limits.linesPerSecond;
+    constexpr std::uint64_t maxBytes = limits.bytesPerSecond;
     for (int seed = 0; seed < runs; ++seed) {
         std::mt19937_64 random(seed);
         const auto below = [&random](std::uint64_t bound) { return random() % bound; };
@@ -76,8 +78,7 @@
             const bool isOrdinary = level < LogLevel::Warning;
             const bool isAccepted = budget.tryConsume(level, topic, size, now);
             // A line is never rejected while its share is free.
-            const bool isShareFree = lines < limits.linesPerSecond * 3 / 4
-                && bytes + size <= limits.bytesPerSecond * 3 / 4;
+            const bool isShareFree = lines < maxLines * 3 / 4 && bytes + size <= maxBytes * 3 / 4;
             REQUIRE((isAccepted || !isShareFree));
             if (!isAccepted)
                 continue;
@@ -85,10 +86,10 @@
             bytes += size;
             ordinaryLines += isOrdinary ? 1 : 0;
             requestLines += isOrdinary && topic == LogTopic::Request ? 1 : 0;
-            REQUIRE(lines <= 2 * limits.linesPerSecond);
-            REQUIRE(bytes <= 2 * limits.bytesPerSecond);
-            REQUIRE(ordinaryLines <= limits.linesPerSecond);
-            REQUIRE(requestLines <= limits.linesPerSecond * 3 / 4);
+            REQUIRE(lines <= 2 * maxLines);
+            REQUIRE(bytes <= 2 * maxBytes);
+            REQUIRE(ordinaryLines <= maxLines);
+            REQUIRE(requestLines <= maxLines * 3 / 4);
         }
     }
 }
--- a/test/unit/logwriter_test.cpp
+++ b/test/unit/logwriter_test.cpp
@@ -25,7 +25,7 @@
     std::shared_future<void> gate = released.get_future().share();
     std::vector<std::string> written;
     bool isFirst = true;
-    LogWriter writer({4, 1000}, [&](const LogRecord &line) {
+    LogWriter writer({4, {1000}}, [&](const LogRecord &line) {
         if (std::exchange(isFirst, false)) {
             entered.set_value();
             gate.wait();
@@ -61,7 +61,7 @@
 {
     const PausedClock clock;
     std::vector<std::string> written;
-    LogWriter writer({100, 3}, [&](const LogRecord &line) { written.push_back(line.text); });
+    LogWriter writer({100, {3}}, [&](const LogRecord &line) { written.push_back(line.text); });
     int accepted = 0;
     for (int i = 0; i < 10; ++i)
         accepted += writer.tryWrite(makeLine("info")) ? 1 : 0;
@@ -79,7 +79,7 @@
 TEST_CASE("The budget of log lines is renewed every second")
 {
     PausedClock clock;
-    LogWriter writer({100, 2}, [](const LogRecord &) {});
+    LogWriter writer({100, {2}}, [](const LogRecord &) {});
     CHECK(writer.tryWrite(makeLine("one")));
     CHECK(writer.tryWrite(makeLine("two")));
     CHECK_FALSE(writer.tryWrite(makeLine("three")));
