Date the use of a configuration by when a request ran

Cause, in the check: it dates the use of the newer version by the end of the earlier request at its caller. VM 0 was frozen from 3195.50 to 3199.47 s (event times). The caller of r485 sent it at 3195.68 s and left at 3195.84 s; the VM ran it after the freeze, at 3199.468 s, with the newer version. So r520, sent at 3196.28 s and run at 3199.467 s by the version before the freeze, counted as sent after the newer one was in use.

Evidence: the events of the targets, in order: r520 at 3199.4668 s (service m1), r485 at 3199.4680 s (m2); the log adopts versions 10 to 22 within that second. r525 was received in the same instant and ran 9 ms later, within the slack of 250 ms that the check allows for requests already routed.

Ruled out: that the VM went back. Its log adopts 7, 10, 13, 16, 19, 22, 25, 28.

Change: the newer version counts as in use from the later of both times. No other case is narrowed: a request whose caller waited ends after it ran. The new unit test has this order of events and fails before.

--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -208,6 +208,7 @@
 {
     const CallerRecord *record;
     const PublishedConfig *version;
+    Clock::time_point ranAt;
 };
 
 /// Returns each run of a request of the moving route with the version that handled it.
@@ -220,7 +221,7 @@
         for (const TargetEvent *event : index.eventsOf(record.id))
             if (event->kind == Kind::Ran)
                 if (const PublishedConfig *version = findHandlingVersion(index.evidence(), *event))
-                    handled.push_back({&record, version});
+                    handled.push_back({&record, version, event->at});
     }
     return handled;
 }
@@ -238,8 +239,10 @@
             continue;
         for (const HandledRequest &earlier : handled) {
             const CallerRecord &before = *earlier.record;
+            // A VM that was frozen may run a request after its caller has left.
+            const Clock::time_point newerInUse = std::max(before.endedAt, earlier.ranAt);
             if (before.vm != record.vm || earlier.version->version <= later.version->version
-                || before.endedAt + evidence.bounds.rollbackSlack >= record.sentAt
+                || newerInUse + evidence.bounds.rollbackSlack >= record.sentAt
                 || index.incarnationOf(before.vm, before.sentAt, before.endedAt) != incarnation)
                 continue;
             violations.push_back({"a configuration in force never reverts",
--- a/test/unit/soakviolations_test.cpp
+++ b/test/unit/soakviolations_test.cpp
@@ -230,6 +230,17 @@
             CHECK(builder.violatedInvariants(Strictness::Safety).empty());
         }
     }
+    SECTION(
+        "a newer version is in use from when a request ran, although its caller had left before")
+    {
+        CallerRecord &left = builder.evidence().callers.back();
+        left.outcome = CallerRecord::Outcome::CallerDisconnected;
+        left.endedAt = left.sentAt;
+        for (TargetEvent &event : builder.evidence().targetEvents)
+            event.at += 2s;
+        builder.addRequest(RouteKind::Moving, "r2", left.endedAt + 1s, {"i-m"});
+        CHECK(builder.violatedInvariants(Strictness::Safety).empty());
+    }
     SECTION("an older version is in force after the newer one was due")
     {
         builder.evidence().callers.clear();
