--- a/include/mangoshift/retrypool.h
+++ b/include/mangoshift/retrypool.h
@@ -20,8 +20,8 @@
 /// trip between busy VMs and the 100 ms after which a VM notices that no reply has come.
 constexpr std::chrono::milliseconds GrantLifetime{300};
 
-/// Returns the VM that owns the retry pool of `self`'s failure domain: the first by rendezvous hash
-/// among the live VMs of the domain, or `self` if no other is known.
+/// Returns the VM that owns the pools of `self`'s failure domain: the first by rendezvous hash
+/// among the live VMs of the domain that do not leave, or `self` if no other is known.
 VmId poolOwner(const MemberView &view, const Member &self);
 
 /// The pooled part of the retry budgets of all services, for the VMs of one failure domain.
--- a/include/mangoshift/targetstanding.h
+++ b/include/mangoshift/targetstanding.h
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "mangoshift/clock.h"
+#include "mangoshift/targetlimit.h"
 #include "mangoshift/targetregistry.h"
 
 namespace mangoshift {
@@ -19,6 +21,9 @@
     bool isLeaving = false;
     /// How long the target wants no requests from this VM; zero if it does not say so.
     std::chrono::milliseconds pause{0};
+    /// The requests a second that the target takes from all VMs together; no value if it does not
+    /// say so.
+    std::optional<double> limit = std::nullopt;
 
     bool operator==(const TargetNotice &) const = default;
 };
@@ -32,9 +37,9 @@
 class TargetStanding
 {
 public:
-    /// Records the notice of a response. A pause ends up to an eighth later than asked for, at most
-    /// half a second, by `draw` (0 to 1, random), so that the VMs do not all return at once.
-    /// Returns whether the target may get less than before.
+    /// Records what a response says about leaving and pauses. A pause ends up to an eighth later
+    /// than asked for, at most half a second, by `draw` (0 to 1, random), so that the VMs do not
+    /// all return at once. Returns whether the target may get less than before.
     bool onNotice(const TargetNotice &notice, double draw, Clock::time_point now);
 
     bool isLeaving() const { return m_isLeaving; }
@@ -45,10 +50,13 @@
     {
         return m_isLeaving ? Clock::time_point::max() : m_pausedUntil;
     }
+    TargetLimit &limit() { return m_limit; }
+    const TargetLimit &limit() const { return m_limit; }
 
 private:
     bool m_isLeaving = false;
     Clock::time_point m_pausedUntil{};
+    TargetLimit m_limit;
 };
 
 /// The standings of all incarnations of targets. They outlast the targets' registry entries, so
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -12,7 +12,7 @@
 
 /// Events that describe the state of a VM, each with the name of its group. Only the latest event
 /// of a group is reported. An event without a group name is a group by itself, and each target has
-/// a group `target` of its own.
+/// a group `target` and a group `limit` of its own.
 const std::map<std::string, std::string> BackgroundEvents{{"vm_started", ""},
                                                           {"vm_ready", ""},
                                                           {"vm_not_ready", ""},
@@ -29,6 +29,9 @@
                                                           {"target_failing", "target"},
                                                           {"target_leaving", "target"},
                                                           {"target_pauses", "target"},
+                                                          {"target_limit_named", "limit"},
+                                                          {"target_limit_changed", "limit"},
+                                                          {"target_limit_ended", "limit"},
                                                           {"target_answers", "target"},
                                                           {"retry_budget_spent", "budget"},
                                                           {"retry_budget_back", "budget"}};
@@ -57,7 +60,8 @@
     {"no_room", "no target has capacity"},
     {"leaving", "each target that is left has said that it leaves"},
     {"paused", "each target that is left has asked for a pause that is too long for it"},
-    {"failing", "each target that is left fails and is being probed by another request"}};
+    {"failing", "each target that is left fails and is being probed by another request"},
+    {"limited", "each target that is left has named a limit that leaves no room for it in time"}};
 
 const std::map<std::string, std::string> ExecutionTexts{
     {"not_run", "It has not run anywhere."},
@@ -125,6 +129,9 @@
             + textOrKey(NotSentTexts, decision.reason);
     if (decision.action == "queue_too_long")
         return prefix + "refused at once: the queues for its parts are too long for the deadline";
+    if (decision.action == "no_permits")
+        return prefix
+            + "refused at once: the limits that targets have named leave room for too few parts";
     if (decision.action == "out_of_reach")
         return prefix
             + "refused at once: this VM is cut off from the other failure domains and from "
@@ -212,7 +219,8 @@
     const auto targets = failedTargetsOf(endEvent);
     const auto unsent = unsentServicesOf(endEvent);
     const auto isAboutUnsent = [&unsent](const LogLine &line) {
-        const bool closesTarget = line.event != "target_listed" && line.event != "target_answers";
+        const bool closesTarget = line.event != "target_listed" && line.event != "target_answers"
+            && line.event != "target_limit_ended";
         return closesTarget
             && std::binary_search(unsent.begin(), unsent.end(), line.value("service"));
     };
@@ -255,10 +263,10 @@
             m_droppedLines += std::strtoull(line->value("lines").c_str(), nullptr, 10);
         if (const auto known = BackgroundEvents.find(line->event);
             known != BackgroundEvents.end()) {
-            const bool isTarget = known->second == "target";
-            const std::string key = isTarget ? "target " + line->value("target")
-                : known->second.empty()      ? line->event
-                                             : known->second;
+            const bool isOfTarget = known->second == "target" || known->second == "limit";
+            const std::string key = isOfTarget ? known->second + " " + line->value("target")
+                : known->second.empty()        ? line->event
+                                               : known->second;
             background[key] = *line;
         }
         const bool isEndEvent = line->event == "request_ended" || line->event == "request_rejected";
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -59,7 +59,13 @@
     , entrySends(counters(*m_registry, "mangoshift_entry_sends_total",
                           "Requests given to targets, and extra ones denied"))
     , targetNotices(counters(*m_registry, "mangoshift_target_notices_total",
-                             "Targets that said they leave, or asked for a pause"))
+                             "Targets that said they leave, asked for a pause, or named a limit"))
+    , targetLimit(gauges(*m_registry, "mangoshift_target_limit",
+                         "Requests a second that a target takes from all VMs"))
+    , targetLimitUse(gauges(*m_registry, "mangoshift_target_limit_use",
+                            "Requests a second that this VM sends to a limited target"))
+    , permitAsks(counters(*m_registry, "mangoshift_permit_asks_total",
+                          "Requests for permits to send to limited targets"))
     , ready(gauges(*m_registry, "mangoshift_ready", "One while this VM is ready").Add({}))
     , requestsInFlight(gauges(*m_registry, "mangoshift_entry_requests_under_way",
                               "Requests that are not answered yet")
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -62,9 +62,15 @@
     /// Requests that this entry VM sent to targets, by `cause` (`first`, `hedge`, `retry`);
     /// `denied` counts extra requests that were not sent because the budget was exhausted.
     prometheus::Family<prometheus::Counter> &entrySends;
-    /// What targets have said about themselves, by `kind` (`leaving`, `pause`), once a target and
-    /// pause.
+    /// What targets have said about themselves, by `kind` (`leaving`, `pause`, `limit`), once a
+    /// target and pause or change of its limit.
     prometheus::Family<prometheus::Counter> &targetNotices;
+    /// The limits that targets name, and how much of them this VM uses, in requests a second by
+    /// `target`; only while there is a limit.
+    prometheus::Family<prometheus::Gauge> &targetLimit;
+    prometheus::Family<prometheus::Gauge> &targetLimitUse;
+    /// Requests for permits to send to limited targets, by `outcome` (`granted`, `denied`).
+    prometheus::Family<prometheus::Counter> &permitAsks;
     /// 1 while this VM is ready, otherwise 0.
     prometheus::Gauge &ready;
     /// Callers' requests at this entry VM that are not answered yet.
--- a/src/core/retrypool.cpp
+++ b/src/core/retrypool.cpp
@@ -8,7 +8,8 @@
 {
     const ShardKey key = shardKey("retry-pool", self.failureDomain);
     VmId owner = self.vm;
-    std::uint64_t best = rendezvousWeight(key, self.vm);
+    // A VM that leaves owns the pool only if there is no other.
+    std::uint64_t best = self.isLeaving ? 0 : rendezvousWeight(key, self.vm);
     for (const Member &member : view.members) {
         const std::uint64_t weight = rendezvousWeight(key, member.vm);
         if (member.failureDomain != self.failureDomain || member.isLeaving || weight <= best)
--- a/src/duties/messages.h
+++ b/src/duties/messages.h
@@ -10,6 +10,7 @@
 
 #include "mangoshift/clock.h"
 #include "mangoshift/document.h"
+#include "mangoshift/limitpool.h"
 #include "mangoshift/members.h"
 #include "mangoshift/outcome.h"
 #include "mangoshift/querymachine.h"
@@ -157,6 +158,21 @@
     BudgetCounts counts;
 };
 
+/// Asks the limit pool of this VM's failure domain for permits, for several requests at once.
+struct PermitRequest
+{
+    std::uint64_t sequence = 0;
+    std::vector<PermitAsk> asks;
+};
+
+/// What the pool grants in reply to the request with this sequence number, in the order of its
+/// asks.
+struct PermitReply
+{
+    std::uint64_t sequence = 0;
+    std::vector<PermitOutcome> outcomes;
+};
+
 /// Replaces the addresses of the VMs that are contacted first in order to join.
 struct SeedsChanged
 {
@@ -181,6 +197,6 @@
 using ControlMessage = std::variant<ControlFrame, PlatformDocument, PlatformList, ProcessPaused,
                                     StartLeaving, StateRequest>;
 using RegistryMessage = std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, BudgetRequest,
-                                     SeedsChanged, PingOtherDomains, StartLeaving>;
+                                     PermitRequest, SeedsChanged, PingOtherDomains, StartLeaving>;
 
 } // namespace mangoshift
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -22,6 +22,12 @@
 constexpr std::chrono::milliseconds FinalResponseMargin{400};
 constexpr std::size_t MaxBalancerConnections = 64;
 
+/// Returns a target's limit; null if it has none.
+nlohmann::json limitJson(const TargetLimit &limit)
+{
+    return limit.value() ? nlohmann::json(*limit.value()) : nlohmann::json();
+}
+
 } // namespace
 
 EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
@@ -32,7 +38,8 @@
     , m_state{m_duty.io(),
               adapter,
               metrics,
-              TargetDirectory(m_duty.io(), adapter, metrics, settings.assumedVms),
+              TargetDirectory(m_duty.io(), adapter, metrics, settings.assumedVms,
+                              sinks.requestPermits),
               {},
               RetryBudgets(m_duty.io(), settings.retryBudget, settings.assumedVms,
                            sinks.requestFromPool),
@@ -92,6 +99,13 @@
         logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
 }
 
+void EntryDuty::onPermits(PermitReply reply)
+{
+    // Permits that are lost are not used; what waits for them is denied after a time.
+    if (!m_duty.tryPost(std::move(reply)))
+        logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
+}
+
 void EntryDuty::onOtherDomainContact()
 {
     m_duty.postLatest(OtherDomainContact{});
@@ -126,6 +140,7 @@
                           },
                           [this](FleetSize &fleet) { m_state.growFleet(fleet.vms); },
                           [this](BudgetGrants &grants) { m_state.budgets.onGrants(grants); },
+                          [this](PermitReply &reply) { m_state.directory.onPermits(reply); },
                           [this](ReloadableSettings &settings) {
                               m_state.replyMargin = settings.replyMargin;
                               m_state.budgets.setTerms(settings.retryBudget);
@@ -343,7 +358,9 @@
                                 {"failing", handle->load.isFailing()},
                                 {"draining", handle->info.isDraining},
                                 {"leaving", handle->standing->isLeaving()},
-                                {"paused", !handle->standing->mayReceive(now)}};
+                                {"paused", !handle->standing->mayReceive(now)},
+                                {"limit_per_s", limitJson(handle->standing->limit())},
+                                {"permits", handle->standing->limit().permits(now)}};
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {{"samples", route.partLatencies.samples()},
                                  {"part_p50_us", route.partLatencies.quantile(0.5).count()},
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -29,6 +29,9 @@
     /// Sends a request for budget to the retry pool. The reply arrives through
     /// `EntryDuty::onBudgetGrants`.
     RetryBudgets::RequestFromPool requestFromPool;
+    /// Sends a request for permits to the limit pool. The reply arrives through
+    /// `EntryDuty::onPermits`.
+    PermitRequests::RequestFromPool requestPermits;
     /// Pings VMs of other failure domains. Each reply is reported to
     /// `EntryDuty::onOtherDomainContact`.
     std::function<void()> pingOtherDomains;
@@ -62,6 +65,7 @@
     /// Reports how many VMs there may be; see `EntryState::growFleet`.
     void setFleetSize(std::size_t vms);
     void onBudgetGrants(BudgetGrants grants);
+    void onPermits(PermitReply reply);
     /// Reports contact with a VM of another failure domain.
     void onOtherDomainContact();
     /// Applies the settings that can change in a running process.
@@ -102,7 +106,7 @@
     };
     using Message =
         std::variant<RoutingChanged, TargetsChanged, RegistryListed, FleetSize, BudgetGrants,
-                     ReloadableSettings, OtherDomainContact, Leave, StateRequest>;
+                     PermitReply, ReloadableSettings, OtherDomainContact, Leave, StateRequest>;
 
     void handle(Message &message);
     CallerEvents callerEvents();
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -56,6 +56,8 @@
     settings.vm = json.at("vm");
     settings.failureDomain = json.at("failure_domain");
     settings.region = json.at("region");
+    settings.failureDomains =
+        json.value("failure_domains", std::vector<std::string>{settings.failureDomain});
     readAddresses(json, settings, faults);
     settings.retryBudget = readBudget(json.at("retry_budget"));
     settings.assumedVms = json.value("assumed_vms", settings.assumedVms);
@@ -89,6 +91,7 @@
     compare("vm", inForce.vm, wanted.vm);
     compare("failure_domain", inForce.failureDomain, wanted.failureDomain);
     compare("region", inForce.region, wanted.region);
+    compare("failure_domains", inForce.failureDomains, wanted.failureDomains);
     compare("caller_address", inForce.callerAddress.toString(), wanted.callerAddress.toString());
     compare("ready_address", inForce.readyAddress.toString(), wanted.readyAddress.toString());
     compare("operator_address", inForce.operatorAddress.toString(),
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -21,6 +21,8 @@
     std::string vm;
     std::string failureDomain;
     std::string region;
+    /// All failure domains with entry VMs. They share the limits of targets evenly.
+    std::vector<std::string> failureDomains;
     /// The address on which callers are accepted.
     Address callerAddress;
     /// The address on which the balancer checks whether this VM is ready.
--- /dev/null
+++ b/src/entry/permitaccess.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+
+#include "duties/messages.h"
+#include "mangoshift/limitpool.h"
+#include "mangoshift/members.h"
+
+namespace mangoshift {
+
+/// Obtains permits from the limit pool of this VM's failure domain: grants them itself if this VM
+/// is the pool owner, and requests them from the pool owner otherwise. Belongs to the registry
+/// duty's thread.
+class PermitAccess
+{
+public:
+    /// The receivers of requests to another VM, of replies to another VM, and of replies for this
+    /// VM.
+    struct Sinks
+    {
+        std::function<void(const VmId &, FramePtr)> sendToVm;
+        std::function<void(LinkId, FramePtr)> sendOnLink;
+        std::function<void(PermitReply)> onPermits;
+    };
+
+    /// `failureDomains` is the number of failure domains that share each limit.
+    PermitAccess(Member self, std::size_t failureDomains, Sinks sinks);
+
+    /// Updates the owner of the pool.
+    void onMembers(MemberViewPtr view, Clock::time_point now);
+    /// Gives the pool up, as this VM leaves.
+    void onLeaving(Clock::time_point now);
+    /// Requests permits for this VM. The reply is passed to `Sinks::onPermits`.
+    void request(const PermitRequest &request, Clock::time_point now);
+    /// Handles a frame that concerns the pool. Returns false for any other frame.
+    bool onFrame(LinkId link, const wire::FrameT &frame, Clock::time_point now);
+    const VmId &owner() const { return m_owner; }
+
+private:
+    void updateOwner(Clock::time_point now);
+    PermitReply grant(const PermitRequest &request, Clock::time_point now);
+
+    Member m_self;
+    Sinks m_sinks;
+    LimitPool m_pool;
+    MemberViewPtr m_view;
+    VmId m_owner;
+};
+
+} // namespace mangoshift
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -70,6 +70,8 @@
     , m_storeView(RecoveryGrace, MinOutageReports * settings.targetReportInterval)
     , m_pool(m_self, settings.retryBudget, settings.assumedVms,
              {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onGrants})
+    , m_permits(m_self, settings.failureDomains.size(),
+                {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onPermits})
     , m_pendingPulls(m_duty.io(), [this](const PendingStatePull &pull) { replyToPull(pull); })
     , m_memberTick(m_duty.io())
     , m_fetchTimer(m_duty.io())
@@ -117,6 +119,7 @@
                            onPeerFailure("lost");
                    },
                    [this](BudgetRequest &request) { m_pool.requestExtras(request, Clock::now()); },
+                   [this](PermitRequest &request) { m_permits.request(request, Clock::now()); },
                    [this](SeedsChanged &seeds) {
                        if (m_members)
                            m_members->onMemberList(membersFromSeeds(seeds.addresses), Clock::now());
@@ -127,6 +130,7 @@
                    },
                    [this](LinkLost &lost) { m_pendingPulls.onLinkLost(lost.link); },
                    [this](StartLeaving &) {
+                       m_permits.onLeaving(Clock::now());
                        if (m_members)
                            m_members->leave();
                    }},
@@ -364,6 +368,7 @@
     state["watcher"] = m_follower.isWatcher();
     state["heard_ms_ago"] = wholeMilliseconds(Clock::now() - m_storeView.lastContact()).count();
     state["peers_waiting"] = m_pendingPulls.size();
+    state["limit_pool_owner"] = m_permits.owner();
     if (m_members)
         state["members"] = m_members->stateJson();
     return state.dump();
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -18,6 +18,7 @@
 #include "duties/messages.h"
 #include "entry/entrysettings.h"
 #include "entry/pendingstatepulls.h"
+#include "entry/permitaccess.h"
 #include "entry/poolaccess.h"
 #include "entry/storeconnection.h"
 #include "entry/storeview.h"
@@ -43,6 +44,7 @@
     /// Called upon contact with a VM of another failure domain.
     std::function<void()> onOtherDomainContact;
     std::function<void(BudgetGrants)> onGrants;
+    std::function<void(PermitReply)> onPermits;
     std::function<void(const VmId &, FramePtr)> sendToVm;
     std::function<void(LinkId, FramePtr)> sendOnLink;
 };
@@ -129,6 +131,7 @@
     /// Null if the settings contain no peer address.
     std::unique_ptr<MemberExchange> m_members;
     PoolAccess m_pool;
+    PermitAccess m_permits;
     PendingStatePulls m_pendingPulls;
     Timer m_memberTick;
     Timer m_fetchTimer;
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -36,7 +36,8 @@
             m_pendingPulls.add(pendingPull);
     } else if (wire::StateReplyT *reply = message.frame->body.AsStateReply()) {
         onPeerState(*reply);
-    } else if (!m_pool.onFrame(message.link, *message.frame, Clock::now()) && m_members) {
+    } else if (!m_pool.onFrame(message.link, *message.frame, Clock::now())
+               && !m_permits.onFrame(message.link, *message.frame, Clock::now()) && m_members) {
         m_members->onFrame(message.link, *message.frame);
     }
 }
@@ -47,6 +48,7 @@
     m_sinks.onMembers(view);
     m_follower.setMembers(std::move(view));
     m_pool.onMembers(m_members->membership(), Clock::now());
+    m_permits.onMembers(m_members->membership().view(), Clock::now());
     // A VM that is starting fetches the state from the first VM that it discovers.
     if (!m_follower.hasState())
         fetchNext();
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -37,6 +37,11 @@
 /// VM.
 constexpr milliseconds CutOffRetryAfter{1000};
 
+/// A query waits for permits only if this many times the usual latency of its parts is left then,
+/// as its slowest part decides.
+constexpr int WaitMarginFactor = 2;
+constexpr milliseconds LatePermitWait{100};
+
 /// Parts of a fan-out with larger bodies are invalid: they may hold more records than the answer,
 /// but not many times more.
 constexpr std::size_t PartLimitFactor = 64;
@@ -171,7 +176,7 @@
     }
     const Clock::time_point now = Clock::now();
     if (const auto gap = coverageGap(now)) {
-        respondWithFailure(noTargetVerdict(gap->endsAt, now));
+        respondWithFailure(noTargetVerdict({TargetAbsence::Cause::None, gap->endsAt}, now));
         return;
     }
     if (hasTooLongQueues(now)) {
@@ -179,7 +184,59 @@
         respondWithFailure({Execution::NotRun, Reason::Overloaded, OverloadRetryAfter});
         return;
     }
-    perform(m_machine->start(now));
+    std::optional<PermitAsk> ask;
+    if (const FanOutTo *fanOut = this->fanOut())
+        ask = m_state.directory.neededPermits(fanOut->shards, m_minParts, m_request.route->priority,
+                                              now);
+    if (!ask) {
+        perform(m_machine->start(now));
+        return;
+    }
+    ask->maxWait = std::max(milliseconds(0),
+                            std::chrono::duration_cast<milliseconds>(
+                                m_partialAnswerFrom - m_expectedLatency * WaitMarginFactor - now));
+    const bool isNeeded = ask->neededParts > 0;
+    m_state.directory.requestPermits(
+        std::move(*ask),
+        [weak = weak_from_this(), isNeeded, &directory = m_state.directory](
+            const PermitOutcome &outcome, const std::vector<HeldPermit> &permits) {
+            const auto self = weak.lock();
+            if (self && isNeeded && !self->m_isFinished)
+                self->onPermits(outcome, permits);
+            else
+                for (const HeldPermit &permit : permits)
+                    directory.addSparePermit(permit);
+        },
+        now);
+    // Permits that are of use only serve the requests after this one.
+    if (!isNeeded)
+        perform(m_machine->start(now));
+}
+
+void RequestExchange::onPermits(const PermitOutcome &outcome,
+                                const std::vector<HeldPermit> &permits)
+{
+    const Clock::time_point now = Clock::now();
+    if (outcome.isGranted) {
+        for (const HeldPermit &permit : permits) {
+            const std::string service = m_state.directory.serviceOf(permit);
+            for (Part &part : m_parts)
+                if (part.service == service)
+                    part.permit = permit;
+        }
+        for (Part &part : m_parts)
+            part.isDenied = !part.permit && m_state.directory.isClosedByLimits(part.service, now);
+        perform(m_machine->start(now));
+        return;
+    }
+    TargetAbsence absence{TargetAbsence::Cause::Limited, std::nullopt};
+    if (outcome.opensIn)
+        absence.endsAt = now + *outcome.opensIn;
+    addToTrace("no_permits", m_request.route->name, {}, "");
+    for (const Part &part : m_parts)
+        if (m_state.directory.isClosedByLimits(part.service, now))
+            addAbsenceToTrace(part, absence);
+    respondWithFailure(noTargetVerdict(absence, now));
 }
 
 void RequestExchange::perform(RequestActions actions)
@@ -260,6 +317,10 @@
         call.triedTargets.push_back(copy.target);
     call.usefulUntil = m_partialAnswerFrom;
     call.canWait = action.cause != SendCause::Hedge;
+    call.priority = m_request.route->priority;
+    call.permit = std::exchange(part.permit, std::nullopt);
+    call.requestsPermit = !part.isDenied;
+    call.endsAtPermitLimit = fanOut() == nullptr;
     call.expectedLatency = m_expectedLatency;
     call.onSent = [weak = weak_from_this(), index = action.part](const TargetHandlePtr &target,
                                                                  CallNumber number) {
@@ -274,6 +335,9 @@
     call.leavesOutEjected = fanOut() == nullptr;
     call.waitLimit =
         fanOut() != nullptr ? m_partialAnswerFrom : m_request.deadline - m_expectedLatency;
+    // An answer that is late in any case is worth a short wait.
+    call.permitLimit = std::min(
+        std::max(m_partialAnswerFrom - m_expectedLatency, now + LatePermitWait), call.waitLimit);
     call.onNoTarget = [weak = weak_from_this(), action](const TargetAbsence &absence) {
         if (const auto self = weak.lock())
             self->onNoTarget(action, absence);
@@ -285,7 +349,7 @@
     const auto [state, absence, isStalled] = m_state.directory.call(std::move(call), now);
     if (state == CallState::NoTarget) {
         addAbsenceToTrace(part, absence);
-        return onUnsent(action, noTargetVerdict(absence.endsAt, now), now);
+        return onUnsent(action, noTargetVerdict(absence, now), now);
     }
     if (state == CallState::NoFreeSlot) {
         addToTrace("not_sent", part.service, {}, "no_room");
@@ -304,16 +368,17 @@
 
 void RequestExchange::addAbsenceToTrace(const Part &part, const TargetAbsence &absence)
 {
-    static constexpr std::array causeNames{"no_target", "leaving", "failing", "paused"};
+    static constexpr std::array causeNames{"no_target", "leaving", "failing", "limited", "paused"};
     addToTrace("not_sent", part.service, {},
                causeNames.at(static_cast<std::size_t>(absence.cause)));
 }
 
-Verdict RequestExchange::noTargetVerdict(const std::optional<Clock::time_point> &endsAt,
-                                         Clock::time_point now) const
+Verdict RequestExchange::noTargetVerdict(const TargetAbsence &absence, Clock::time_point now) const
 {
-    const Clock::duration delay = endsAt ? *endsAt - now : Clock::duration(NoReplicaRetryAfter);
-    return {Execution::NotRun, Reason::NoReplica,
+    const Clock::duration delay =
+        absence.endsAt ? *absence.endsAt - now : Clock::duration(NoReplicaRetryAfter);
+    const bool isLimited = absence.cause == TargetAbsence::Cause::Limited;
+    return {Execution::NotRun, isLimited ? Reason::Overloaded : Reason::NoReplica,
             retryDelay(delay, m_request.route->priority, m_state.draw())};
 }
 
@@ -334,7 +399,7 @@
     Part &part = m_parts[action.part];
     part.isWaiting = false;
     addAbsenceToTrace(part, absence);
-    perform(onUnsent(action, noTargetVerdict(absence.endsAt, now), now));
+    perform(onUnsent(action, noTargetVerdict(absence, now), now));
 }
 
 void RequestExchange::countSend(SendCause cause)
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -51,6 +51,10 @@
     struct Part
     {
         std::string service;
+        /// The permit for the next copy.
+        std::optional<HeldPermit> permit;
+        /// Whether it was denied a permit and has no other targets than limited ones.
+        bool isDenied = false;
         /// The copies that were sent to a target.
         std::vector<Copy> copies;
         bool isWaiting = false;
@@ -71,10 +75,8 @@
     void countSend(SendCause cause);
     /// Adds to the trace why there is no target for a part.
     void addAbsenceToTrace(const Part &part, const TargetAbsence &absence);
-    /// Returns the verdict on what no target can take before `endsAt`; no value if that is not
-    /// known.
-    Verdict noTargetVerdict(const std::optional<Clock::time_point> &endsAt,
-                            Clock::time_point now) const;
+    /// Returns the verdict on what no target can take.
+    Verdict noTargetVerdict(const TargetAbsence &absence, Clock::time_point now) const;
     /// Handles a waiting part for which no target is left.
     void onNoTarget(const SendPart &action, const TargetAbsence &absence);
     RequestActions onExtraDenied(const SendPart &action, Clock::time_point now);
@@ -90,6 +92,8 @@
     /// Returns whether too few parts have targets for a successful answer, and until when. Adds the
     /// parts without targets to the trace if so.
     std::optional<CoverageGap> coverageGap(Clock::time_point now);
+    /// Starts the request, or refuses it if the limits of targets leave too few parts.
+    void onPermits(const PermitOutcome &outcome, const std::vector<HeldPermit> &permits);
     /// Handles that a waiting part has stalled, or no longer is.
     void onStalled(std::size_t part, bool isStalled);
     /// Returns whether the queues are too long for enough parts to be answered in time.
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -1,6 +1,7 @@
 #include "entry/targetdirectory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <asio/post.hpp>
@@ -34,12 +35,15 @@
 }
 
 TargetDirectory::TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
-                                 std::size_t fleetSize)
+                                 std::size_t fleetSize,
+                                 PermitRequests::RequestFromPool requestFromPool)
     : m_io(io)
     , m_adapter(adapter)
     , m_metrics(metrics)
     , m_fleetSize(fleetSize)
     , m_standings(MaxStandings)
+    , m_permits(io, std::move(requestFromPool))
+    , m_permitTimer(io)
     , m_random(std::random_device{}())
 {
 }
@@ -85,12 +89,16 @@
     auto handle =
         std::make_shared<TargetHandle>(m_io, target, endpoint, m_adapter.headers.target, options,
                                        m_counts, m_standings.of(target.id, target.startedAt));
-    handle->channels.setOnResponse([this, weak = std::weak_ptr(handle)](
-                                       const HttpResponse &response) { onNotice(weak, response); });
+    handle->channels.setOnResponse(
+        [this, weak = std::weak_ptr(handle)](const HttpResponse &response,
+                                             std::optional<Clock::time_point> sentAt) {
+            onNotice(weak, response, sentAt);
+        });
     handle->load.setWarmupEnd(now + target.warmupLeft);
     if (target.isDraining)
         handle->drainingSince = now;
     m_byService[target.service].push_back(handle);
+    m_byLimitKey[handle->limitKey] = handle;
     m_byId.emplace(target.id, std::move(handle));
     logEvent(LogLevel::Info, "target_listed",
              {{"target", target.id},
@@ -106,6 +114,7 @@
         return;
     const TargetHandlePtr handle = known->second;
     m_byId.erase(known);
+    m_byLimitKey.erase(handle->limitKey);
     auto &service = m_byService[handle->info.service];
     std::erase(service, handle);
     if (service.empty())
@@ -172,12 +181,28 @@
     }
     if (found.handles.empty())
         found.handles = std::move(draining);
+    const bool hasPermit = call.permit && !call.permit->isExpired(now);
+    const auto isClosed = [&call, now](const TargetHandlePtr &handle) {
+        const bool isPermitted =
+            call.permit && call.permit->target == handle->limitKey && call.permit->isValid(now);
+        return !isPermitted && !handle->standing->limit().allowsRequest(now);
+    };
+    std::copy_if(found.handles.begin(), found.handles.end(), std::back_inserter(found.limited),
+                 isClosed);
+    std::erase_if(found.handles, isClosed);
+    if (found.limited.empty())
+        return found;
+    absence.cause = std::max(absence.cause, TargetAbsence::Cause::Limited);
+    const bool mayGetPermit = call.requestsPermit && now < call.permitLimit;
+    if (hasPermit || mayGetPermit)
+        absence.endsAt = std::min(absence.endsAt.value_or(Clock::time_point::max()),
+                                  hasPermit ? call.permit->validFrom : now);
     return found;
 }
 
 bool TargetDirectory::Candidates::areAllEjected() const
 {
-    return !handles.empty()
+    return !handles.empty() && limited.empty()
         && std::all_of(handles.begin(), handles.end(),
                        [](const TargetHandlePtr &handle) { return handle->load.isEjected(); });
 }
@@ -191,7 +216,7 @@
     call.leavesOutEjected = true;
     call.waitLimit = waitLimit;
     const Candidates found = candidates(call, now);
-    if (!found.handles.empty() || mayWaitFor(found.absence, call))
+    if (!found.handles.empty() || !found.limited.empty() || mayWaitFor(found.absence, call))
         return std::nullopt;
     return found.absence;
 }
@@ -210,14 +235,20 @@
 }
 
 void TargetDirectory::onNotice(const std::weak_ptr<TargetHandle> &target,
-                               const HttpResponse &response)
+                               const HttpResponse &response,
+                               std::optional<Clock::time_point> sentAt)
 {
-    const TargetNotice notice = m_adapter.decodeNotice(response);
-    if (notice == TargetNotice())
-        return;
     const TargetHandlePtr handle = target.lock();
+    // Another target has responded at the address.
+    if (!handle || response.status == httpstatus::MisdirectedRequest)
+        return;
+    const TargetNotice notice = m_adapter.decodeNotice(response);
+    const Clock::time_point now = Clock::now();
+    // A response that is not the target's own does not end its limit.
+    const bool isOwn = !isSpoilt(response, m_adapter.headers);
+    onLimitNotice(*handle, notice.limit, isOwn ? sentAt : std::nullopt, now);
     std::uniform_real_distribution<double> draw(0.0, 1.0);
-    if (!handle || !handle->standing->onNotice(notice, draw(m_random), Clock::now()))
+    if (!handle->standing->onNotice(notice, draw(m_random), now))
         return;
     const bool isLeaving = handle->standing->isLeaving();
     m_metrics.targetNotices.Add({{"kind", isLeaving ? "leaving" : "pause"}}).Increment();
@@ -262,7 +293,10 @@
         return {CallState::NoFreeSlot, {}};
     call.isStalled = found.areAllEjected();
     const CallOutcome outcome{CallState::Waiting, {}, call.isStalled};
-    m_waiting[call.service].push_back(std::move(call));
+    const std::string service = call.service;
+    m_waiting[service].push_back(std::move(call));
+    if (!found.limited.empty())
+        requestPermitsForWaiting(service, now);
     return outcome;
 }
 
@@ -277,6 +311,13 @@
                                               });
     if (!number)
         return false;
+    const Clock::time_point now = Clock::now();
+    if (call.permit && call.permit->target == target->limitKey && call.permit->isValid(now))
+        target->standing->limit().addPermit(now);
+    else if (call.permit)
+        addSparePermit(*call.permit);
+    target->standing->limit().onSent(now);
+    call.permit.reset();
     target->load.onSent();
     call.onSent(target, *number);
     return true;
@@ -342,11 +383,15 @@
         handle->channels.sweep(now);
     for (const TargetHandlePtr &handle : m_retired)
         handle->channels.sweep(now);
+    m_permits.sweep(now);
     std::vector<std::string> services;
     for (const auto &[service, waiting] : m_waiting)
         services.push_back(service);
-    for (const std::string &service : services)
+    for (const std::string &service : services) {
         reviewWaiting(service, now);
+        requestPermitsForWaiting(service, now);
+    }
+    updateLimitMetrics(now);
     std::erase_if(m_retired,
                   [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
 }
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -6,11 +6,14 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
+#include <asio/basic_waitable_timer.hpp>
 #include <asio/io_context.hpp>
 
 #include "base/metrics.h"
+#include "entry/permitrequests.h"
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
 #include "mangoshift/routing.h"
@@ -27,6 +30,8 @@
     TargetLoad load;
     TargetChannels channels;
     std::shared_ptr<TargetStanding> standing;
+    /// Names the target in requests for permits.
+    LimitKey limitKey;
     /// When this VM was notified that the target is draining.
     Clock::time_point drainingSince{};
     /// Set when another target responded at this target's address, which means that this target no
@@ -41,6 +46,7 @@
         , load(info.slots)
         , channels(io, endpoint, info.id, names, options, counts)
         , standing(std::move(knownStanding))
+        , limitKey(mangoshift::limitKey(info.id, info.startedAt))
     {
     }
 };
@@ -54,6 +60,7 @@
         None, ///< No target is known, or each one has been tried.
         Leaving, ///< A target has said that it leaves.
         Failing, ///< A target fails, and another request is probing it.
+        Limited, ///< A target has named a limit, and no request is left within it.
         Paused, ///< A target has asked for a pause that is too long for the call.
     };
     Cause cause = Cause::None;
@@ -61,6 +68,19 @@
     std::optional<Clock::time_point> endsAt;
 };
 
+/// A permit to send one request to a limited target, with the time from which it is valid.
+struct HeldPermit
+{
+    LimitKey target = 0;
+    Clock::time_point validFrom{};
+
+    bool isValid(Clock::time_point now) const
+    {
+        return now >= validFrom && now < validFrom + PermitLifetime;
+    }
+    bool isExpired(Clock::time_point now) const { return now >= validFrom + PermitLifetime; }
+};
+
 /// A request to be sent to any target of a service.
 struct ServiceCall
 {
@@ -73,6 +93,20 @@
     Clock::time_point usefulUntil;
     /// Whether the call may wait for a target with a free slot.
     bool canWait = true;
+    /// The rank of the request, 0 for the most urgent.
+    std::uint32_t priority = 0;
+    /// Whether a permit is requested for the call if no other target has a free slot. Not set for
+    /// calls that were denied one together with other parts of their query.
+    bool requestsPermit = true;
+    /// A permit that was granted for this call.
+    std::optional<HeldPermit> permit = std::nullopt;
+    /// No permit is requested before this time.
+    Clock::time_point permitRetryAt{};
+    /// Whether the call ends at `permitLimit` if it still waits and some of its targets are
+    /// limited.
+    bool endsAtPermitLimit = false;
+    /// The latest time at which a permit is of use.
+    Clock::time_point permitLimit = Clock::time_point::max();
     /// Whether failing targets that are being probed are left out. A part of a fan-out does not
     /// leave them out: without it the other parts may be too few for an answer.
     bool leavesOutEjected = false;
@@ -119,7 +153,7 @@
 public:
     /// `fleetSize` is the number of VMs that share a target's connections.
     TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
-                    std::size_t fleetSize);
+                    std::size_t fleetSize, PermitRequests::RequestFromPool requestFromPool);
 
     void apply(const std::vector<RegistryChange> &changes, Clock::time_point now);
     /// Applies the connection limits of a new configuration.
@@ -135,8 +169,25 @@
     CallOutcome call(ServiceCall call, Clock::time_point now);
     /// Returns why a request to a service would find no target, waiting until `waitLimit` at most
     /// and leaving out targets that fail and are being probed; no value if it would find one.
+    /// Limits of targets do not count.
     std::optional<TargetAbsence> absence(const std::string &service, Clock::time_point waitLimit,
                                          Clock::time_point now) const;
+    /// Returns the permits that a request with one part for each service needs, of which `minParts`
+    /// must be sent; no value if it needs none.
+    std::optional<PermitAsk> neededPermits(const std::vector<std::string> &services,
+                                           std::size_t minParts, std::uint32_t priority,
+                                           Clock::time_point now) const;
+    /// Returns whether only limited targets without permits are left for requests to a service.
+    bool isClosedByLimits(const std::string &service, Clock::time_point now) const;
+    using OnPermits =
+        std::function<void(const PermitOutcome &, const std::vector<HeldPermit> &permits)>;
+    /// Requests permits. `onPermits` is called later.
+    void requestPermits(PermitAsk ask, OnPermits onPermits, Clock::time_point now);
+    /// Leaves a permit to any call that needs one.
+    void addSparePermit(const HeldPermit &permit);
+    /// Returns the service of the target that a permit is for; empty if it is not listed any more.
+    std::string serviceOf(const HeldPermit &permit) const;
+    void onPermits(const PermitReply &reply) { m_permits.onReply(reply); }
     /// Records that the response to a call is overdue.
     void onOverdue(const TargetHandlePtr &target, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
@@ -166,16 +217,33 @@
     struct Candidates
     {
         std::vector<TargetHandlePtr> handles;
+        /// Targets that a call may get with a permit only.
+        std::vector<TargetHandlePtr> limited;
         TargetAbsence absence;
 
         /// Returns whether there are targets, and all of them fail and are being probed.
         bool areAllEjected() const;
     };
     Candidates candidates(const ServiceCall &call, Clock::time_point now) const;
+    /// Requests permits for the waiting calls to a service that could be sent to limited targets.
+    void requestPermitsForWaiting(const std::string &service, Clock::time_point now);
+    /// Gives a waiting call its permit, or ends it if it was denied one and has no other target.
+    void onPermitOutcome(const std::string &service, const ForwardedRequestPtr &request,
+                         const PermitOutcome &outcome, const std::vector<HeldPermit> &permits);
+    /// Reports a limit that has ended to the pool, as no further request of this VM does.
+    void reportLimitEnd(const TargetHandle &target, Clock::time_point now);
+    /// Handles the limit that a response names, or that it names none.
+    void onLimitNotice(TargetHandle &target, std::optional<double> limit,
+                       std::optional<Clock::time_point> sentAt, Clock::time_point now);
+    /// Arranges that waiting calls are sent when their permits are valid.
+    void armPermitTimer(Clock::time_point now);
+    /// Updates the metrics of limited targets.
+    void updateLimitMetrics(Clock::time_point now);
     /// Logs that a target has come to fail or answers again; `wasFailing` is its earlier state.
     void onFailingMayHaveChanged(const TargetHandle &target, bool wasFailing);
     /// Handles what a target says about itself in a response.
-    void onNotice(const std::weak_ptr<TargetHandle> &target, const HttpResponse &response);
+    void onNotice(const std::weak_ptr<TargetHandle> &target, const HttpResponse &response,
+                  std::optional<Clock::time_point> sentAt);
     /// Returns whether a call may wait for the end of the pauses of its targets.
     static bool mayWaitFor(const TargetAbsence &absence, const ServiceCall &call);
     TargetHandlePtr pick(const std::vector<TargetHandlePtr> &handles, Clock::time_point now);
@@ -201,7 +269,15 @@
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
+    std::unordered_map<LimitKey, TargetHandlePtr> m_byLimitKey;
     TargetStandings m_standings;
+    PermitRequests m_permits;
+    /// Services for whose waiting calls permits have been requested.
+    std::unordered_set<std::string> m_servicesAwaitingPermits;
+    asio::basic_waitable_timer<Clock> m_permitTimer;
+    /// The sends to each limited target when its use was last reported.
+    std::unordered_map<TargetId, std::uint64_t> m_reportedSends;
+    Clock::time_point m_limitsReportedAt{};
     /// Calls that wait for a free slot, or for the end of a pause, by service.
     std::unordered_map<std::string, std::vector<ServiceCall>> m_waiting;
     /// Targets that were removed from the registry and still have calls in flight.
--- a/src/entry/targetdirectory_waiting.cpp
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -40,7 +40,8 @@
     if (const auto it = m_byService.find(service); it != m_byService.end())
         for (const TargetHandlePtr &handle : it->second)
             if (!handle->isMisdirected && !handle->info.isDraining && !handle->load.isAvoided(now)
-                && handle->standing->mayReceive(now))
+                && handle->standing->mayReceive(now)
+                && handle->standing->limit().allowsRequest(now))
                 capacity += handle->load.limit();
     return callLatency * (callsAhead + 1) / std::max<std::uint32_t>(capacity, 1);
 }
@@ -92,6 +93,13 @@
         hasFreeSlot = hasFreeSlot && (target || found.handles.empty());
         if (target && send(target, call))
             continue;
+        if (call.endsAtPermitLimit && !found.limited.empty() && now >= call.permitLimit) {
+            TargetAbsence absence{TargetAbsence::Cause::Limited, std::nullopt};
+            if (call.permitRetryAt > now)
+                absence.endsAt = call.permitRetryAt;
+            ended.emplace_back(std::move(call), absence);
+            continue;
+        }
         const bool isStalled = found.areAllEjected();
         if (std::exchange(call.isStalled, isStalled) != isStalled && call.onStalled)
             stallChanges.emplace_back(call.onStalled, isStalled);
@@ -110,6 +118,9 @@
     const auto it = m_waiting.find(service);
     if (it == m_waiting.end())
         return;
+    for (const ServiceCall &call : it->second)
+        if (call.request == request && call.permit)
+            addSparePermit(*call.permit);
     std::erase_if(it->second,
                   [&request](const ServiceCall &call) { return call.request == request; });
     if (it->second.empty())
--- a/src/http/targetchannel.cpp
+++ b/src/http/targetchannel.cpp
@@ -183,10 +183,11 @@
 {
     HttpResponse response = m_parser.takeResponse();
     m_lastResponseAt = Clock::now();
-    if (m_owner->m_onResponse)
-        m_owner->m_onResponse(response);
     const std::string_view echoedId = response.headers.value(m_owner->m_names.requestId);
-    if (!echoedId.empty() && echoedId != m_request->id) {
+    const bool isForeign = !echoedId.empty() && echoedId != m_request->id;
+    if (m_owner->m_onResponse)
+        m_owner->m_onResponse(response, isForeign ? std::nullopt : std::optional(m_sentAt));
+    if (isForeign) {
         ++m_owner->m_counts.unexpectedResponses;
         if (!response.keepAlive)
             finishWithoutResponse(TargetCallResult::End::Lost);
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -101,7 +101,9 @@
 {
 public:
     using Done = std::function<void(TargetCallResult)>;
-    using OnResponse = std::function<void(const HttpResponse &)>;
+    /// `sentAt` is when the request was sent; no value if the response belongs to an earlier one.
+    using OnResponse =
+        std::function<void(const HttpResponse &, std::optional<Clock::time_point> sentAt)>;
 
     TargetChannels(asio::io_context &io, asio::ip::tcp::endpoint endpoint, std::string targetId,
                    const TargetHeaderNames &names, ChannelOptions options, ChannelCounts &counts);
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -1,5 +1,7 @@
 #include "wire/framecodec.h"
 
+#include <algorithm>
+
 namespace mangoshift {
 
 namespace {
@@ -14,8 +16,26 @@
     return numbers == nullptr || numbers->size() == 0 || isAligned(numbers->Data());
 }
 
-/// Checks the alignment of vectors of 64-bit integers. The verifier of FlatBuffers 2.0 checks only
-/// that the four-byte length of a vector is aligned, not the elements that follow it.
+bool areVectorsAligned(const wire::PermitRequest &request)
+{
+    const auto *asks = request.asks();
+    return asks == nullptr || std::all_of(asks->begin(), asks->end(), [](const auto *ask) {
+               const auto *targets = ask->targets();
+               return targets == nullptr || targets->size() == 0 || isAligned(targets->Data());
+           });
+}
+
+bool areVectorsAligned(const wire::PermitReply &reply)
+{
+    const auto *outcomes = reply.outcomes();
+    return outcomes == nullptr
+        || std::all_of(outcomes->begin(), outcomes->end(),
+                       [](const auto *outcome) { return isAligned(outcome->targets()); });
+}
+
+/// Checks the alignment of vectors of 64-bit integers, alone or in structs. The verifier of
+/// FlatBuffers 2.0 checks only that the four-byte length of a vector is aligned, not the elements
+/// that follow it.
 bool areVectorsAligned(const wire::Frame &frame)
 {
     switch (frame.body_type()) {
@@ -27,6 +47,10 @@
         return isAligned(frame.body_as_ConfigPull()->hashes());
     case wire::Body::ConfigReply:
         return isAligned(frame.body_as_ConfigReply()->part_hashes());
+    case wire::Body::PermitRequest:
+        return areVectorsAligned(*frame.body_as_PermitRequest());
+    case wire::Body::PermitReply:
+        return areVectorsAligned(*frame.body_as_PermitReply());
     default:
         return true;
     }
--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -20,6 +20,7 @@
 constexpr int SlowFactor = 5;
 /// What a refusal asks for in mode "pause".
 constexpr milliseconds PauseTime{1500};
+constexpr std::string_view LimitMode = "limit=";
 /// How much of an endless body is written at a time.
 constexpr std::size_t EndlessBytes = 16U << 10U;
 /// The deadline of a request without a valid X-Deadline-Ms header.
@@ -140,7 +141,7 @@
     HttpResponse response;
     response.status = 200;
     response.headers.add("X-Instance-Id", m_id);
-    addLeavingHeader(response);
+    addNoticeHeaders(response);
     std::string bytes;
     appendResponse(bytes, response, false);
     connection->send(bytes);
@@ -159,7 +160,7 @@
     if (asksForPause)
         response.headers.add("Retry-After",
                              std::to_string(std::chrono::duration<double>(PauseTime).count()));
-    addLeavingHeader(response);
+    addNoticeHeaders(response);
     std::string bytes;
     appendResponse(bytes, response, false);
     connection->send(bytes);
@@ -267,10 +268,12 @@
     return isInTime ? 200 : 504;
 }
 
-void Server::addLeavingHeader(HttpResponse &response) const
+void Server::addNoticeHeaders(HttpResponse &response) const
 {
     if (mode == "leaving")
         response.headers.add("Server-Leaving", "1");
+    if (mode.starts_with(LimitMode))
+        response.headers.add("Server-Limit", mode.substr(LimitMode.size()));
 }
 
 std::string Server::formatResponse(const std::string &requestId, int status)
@@ -283,7 +286,7 @@
     else if (mode != "unknown")
         response.headers.add("X-Server-Stamp",
                              m_id + "." + requestId + "." + std::to_string(++m_responses));
-    addLeavingHeader(response);
+    addNoticeHeaders(response);
     response.body = serverRecords(m_service, requestId, m_options.hasPerRequestRecords);
     std::string bytes;
     appendResponse(bytes, response, false);
--- a/standins/fakeservers/server.h
+++ b/standins/fakeservers/server.h
@@ -62,8 +62,9 @@
     /// request, never responds), "slow" (takes five times as long), "endless-head" and
     /// "endless-body" (runs the request, then sends headers or a body until the connection is
     /// closed), "leaving" (says in each response that it leaves), "pause" (refuses with 503,
-    /// asking for a pause), "no-stamp" (runs the request, responds with an empty stamp) and
-    /// "unknown" (runs the request, responds with 404 without a stamp).
+    /// asking for a pause), "limit=N" (names a limit of N requests a second in each response),
+    /// "no-stamp" (runs the request, responds with an empty stamp) and "unknown" (runs the request,
+    /// responds with 404 without a stamp).
     std::string mode = "ok";
     /// The number of requests received, except health checks.
     std::uint64_t arrivals = 0;
@@ -93,7 +94,8 @@
     void respondTo(const Job &job, bool isInTime);
     std::chrono::milliseconds remainingPause(Clock::time_point now) const;
     int statusFor(bool isInTime) const;
-    void addLeavingHeader(HttpResponse &response) const;
+    /// Adds what the server says about itself.
+    void addNoticeHeaders(HttpResponse &response) const;
     std::string formatResponse(const std::string &requestId, int status);
     void recordEvent(const char *event, const std::string &requestId,
                      const std::string &details = {});
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <thread>
 
 #include <catch2/catch.hpp>
 #include <httplib.h>
@@ -402,6 +403,133 @@
     }
 }
 
+TEST_CASE("A target that names a limit gets no more requests than it allows")
+{
+    EntrySystem system;
+    for (const std::string target : {"i-oa", "i-ob"})
+        system.setTargetMode(target, "limit=5");
+    REQUIRE(eventually([&system] {
+        system.sendRequest("POST", "/orders/x", "first");
+        std::this_thread::sleep_for(MinProbePause);
+        return contains(system.log(), "event=target_limit_named target=i-oa")
+            && contains(system.log(), "event=target_limit_named target=i-ob");
+    }));
+    // The rule of the users: in any 4 s at most one and a half times the limit, and 5 requests.
+    const auto sendMany = [&system] {
+        const int before = system.arrivalCount();
+        const auto start = std::chrono::steady_clock::now();
+        std::chrono::duration<double> took{};
+        int answered = 0;
+        for (int i = 0; took < std::chrono::seconds(4); ++i) {
+            for (const int status : system.sendOrdersAtOnce(20, "many-" + std::to_string(i)))
+                answered += status == 200 ? 1 : 0;
+            took = std::chrono::steady_clock::now() - start;
+        }
+        const int arrived = system.arrivalCount() - before;
+        CHECK(arrived == answered);
+        CHECK(arrived <= 2 * (1.5 * 5.0 * took.count() + 5.0));
+        return answered;
+    };
+
+    SECTION("while it answers requests that wait for their turn")
+    {
+        // A VM that has just started grants a half of the limits at first.
+        CHECK(sendMany() >= 0.4 * 2 * 5.0 * 4.0);
+    }
+    SECTION("whatever its entry and the configuration say")
+    {
+        system.removeEntry(Targets[5]);
+        REQUIRE(eventually(
+            [&system] { return contains(system.log(), "event=target_delisted target=i-oa"); }));
+        system.announce(Targets[5], "ready", 6);
+        system.publishConfiguration(4, "s1");
+        REQUIRE(eventually(
+            [&system] { return contains(system.log(), "configuration_adopted version=4"); }));
+        sendMany();
+    }
+    SECTION("and a request that finds no room in its time is refused at once, as not run")
+    {
+        system.setTargetMode("i-oa", "limit=0");
+        system.setTargetMode("i-ob", "limit=0");
+        REQUIRE(eventually([&system] {
+            system.sendRequest("POST", "/orders/x", "falls", 1, 300);
+            std::this_thread::sleep_for(MinProbePause);
+            const std::string log = system.log();
+            return contains(log, "event=target_limit_changed target=i-oa")
+                && contains(log, "event=target_limit_changed target=i-ob");
+        }));
+        const auto response = system.sendRequest("POST", "/orders/x", "refused", 1, 1000);
+        REQUIRE(response);
+        CHECK(response->status == 503);
+        CHECK(response->has_header("Retry-After"));
+        CHECK(system.targetsThatRan("refused").empty());
+        const std::string line = system.waitForLogLine("refused");
+        CHECK(contains(line, "execution=not_run reason=overloaded"));
+        CHECK(contains(line, ":not_sent:orders:limited"));
+    }
+    SECTION("until it no longer names one")
+    {
+        system.setTargetMode("i-oa", "ok");
+        REQUIRE(eventually([&system] {
+            system.sendRequest("POST", "/orders/x", "ends");
+            std::this_thread::sleep_for(MinProbePause);
+            return contains(system.log(), "event=target_limit_ended target=i-oa");
+        }));
+        int answered = 0;
+        for (const int status : system.sendOrdersAtOnce(40, "free-"))
+            answered += status == 200 ? 1 : 0;
+        CHECK(answered == 40);
+    }
+}
+
+TEST_CASE("A query over shards whose targets have named limits")
+{
+    EntrySystem system;
+    const auto nameLimits = [&system](const std::vector<std::string> &targets) {
+        for (const std::string &target : targets)
+            system.setTargetMode(target, "limit=0");
+        REQUIRE(eventually([&system, &targets] {
+            system.sendRequest("GET", "/all/x", "asks");
+            std::this_thread::sleep_for(MinProbePause);
+            const std::string log = system.log();
+            return std::all_of(targets.begin(), targets.end(), [&log](const std::string &target) {
+                return contains(log, "event=target_limit_named target=" + target);
+            });
+        }));
+    };
+
+    SECTION("is answered without a shard that has no room, if the others suffice")
+    {
+        nameLimits({"i-s3a"});
+        const int before = system.arrivalCount();
+        const auto response = system.sendRequest("GET", "/all/x", "partial");
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(response->get_header_value("X-Missing-Parts") == "1");
+        CHECK(system.arrivalCount() == before + 2);
+    }
+    SECTION("is refused before any part is sent if they do not")
+    {
+        nameLimits({"i-s3a", "i-s2a", "i-s2b"});
+        const int before = system.arrivalCount();
+        const auto response = system.sendRequest("GET", "/all/x", "refused");
+        REQUIRE(response);
+        CHECK(response->status == 503);
+        CHECK(response->has_header("Retry-After"));
+        CHECK(system.arrivalCount() == before);
+        CHECK(contains(system.waitForLogLine("refused"), ":no_permits:all"));
+    }
+    SECTION("uses a target without a limit if a shard has one")
+    {
+        nameLimits({"i-s2a"});
+        const auto response = system.sendRequest("GET", "/all/x", "whole");
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(response->get_header_value("X-Missing-Parts").find_first_not_of('0')
+              == std::string::npos);
+    }
+}
+
 TEST_CASE("A request is refused at once while each target fails and is being probed")
 {
     EntrySystem system;
--- a/test/unit/explanation_test.cpp
+++ b/test/unit/explanation_test.cpp
@@ -125,6 +125,28 @@
         CHECK(contains(text, "target_leaving pause_ms=0 service=orders target=i-e"));
         CHECK_FALSE(contains(text, "i-f"));
     }
+    SECTION("a query that the limits of targets left no room for is explained with them")
+    {
+        std::istringstream more(
+            "time=2026-12-04T10:00:05.000Z level=INFO event=target_limit_named target=i-d "
+            "service=s1 limit_per_s=4.000000\n"
+            "time=2026-12-04T10:00:05.000Z level=INFO event=target_limit_ended target=i-e "
+            "service=s1 limit_per_s=\n"
+            "time=2026-12-04T10:00:06.000Z level=INFO event=request_ended request=w1 route=q "
+            "config_version=3 outcome=refused status=503 execution=not_run reason=overloaded "
+            "took_ms=2 parts=0/3 hedges=0 retries=0 denied=0 missing=s1,s2,s3 "
+            "trace=0:not_sent:s1:limited;2:no_permits:q\n");
+        RequestSearch search("w1");
+        search.read("a-1", more);
+        const Explanation found = onlyExplanation(search);
+        CHECK(found.steps.at(0)
+              == "after 0 ms: not sent to s1: each target that is left has named a limit that "
+                 "leaves no room for it in time");
+        CHECK(contains(found.steps.at(1), "leave room for too few parts"));
+        const std::string text = toText(found);
+        CHECK(contains(text, "target_limit_named limit_per_s=4.000000 service=s1 target=i-d"));
+        CHECK_FALSE(contains(text, "i-e"));
+    }
     SECTION("a query that waited for shards whose targets fail is explained with them")
     {
         std::istringstream more(
--- /dev/null
+++ b/test/unit/limitpool_test.cpp
@@ -0,0 +1,281 @@
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "mangoshift/limitpool.h"
+#include "mangoshift/targetlimit.h"
+
+using namespace mangoshift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Clock::time_point Start{1000s};
+const Clock::time_point Ready = Start + LimitPool::HandoverTime + LimitPool::NewOwnerTime;
+
+HeardLimit limitOf(LimitKey target, std::optional<double> limit,
+                   std::chrono::milliseconds age = 0ms)
+{
+    return {target, limit, age};
+}
+
+PermitAsk askFor(std::vector<HeardLimit> part, std::uint32_t priority = 0,
+                 std::chrono::milliseconds maxWait = 0ms)
+{
+    return {priority, 1, 1, maxWait, {std::move(part)}};
+}
+
+/// Returns how many of `count` asks for a permit are granted.
+std::size_t countGranted(LimitPool &pool, const PermitAsk &ask, std::size_t count,
+                         Clock::time_point now)
+{
+    std::size_t granted = 0;
+    for (std::size_t i = 0; i < count; ++i)
+        granted += pool.grant(ask, now).isGranted ? 1 : 0;
+    return granted;
+}
+
+/// What the rule of the users allows a target to get in some span of four seconds.
+double allowedIn4s(double limit)
+{
+    return 1.5 * 4.0 * limit + 5.0;
+}
+
+/// Records when a target got requests.
+class Arrivals
+{
+public:
+    void add(Clock::time_point at)
+    {
+        m_times.push_back(at);
+        while (at - m_times.front() >= 4s)
+            m_times.pop_front();
+        m_most = std::max(m_most, m_times.size());
+        ++m_total;
+    }
+    /// The most requests in any span of four seconds.
+    std::size_t mostIn4s() const { return m_most; }
+    std::size_t total() const { return m_total; }
+
+private:
+    std::deque<Clock::time_point> m_times;
+    std::size_t m_most = 0;
+    std::size_t m_total = 0;
+};
+
+} // namespace
+
+TEST_CASE("A limit pool")
+{
+    LimitPool pool(2);
+
+    SECTION("grants nothing if another VM owns it")
+    {
+        CHECK_FALSE(pool.grant(askFor({limitOf(1, 10.0)}), Ready).isGranted);
+    }
+    SECTION("grants nothing until the permits of an earlier owner have expired")
+    {
+        pool.setIsOwner(true, Start);
+        pool.grant(askFor({limitOf(1, 10.0)}), Start);
+        const Clock::time_point grantsStart = Start + LimitPool::HandoverTime;
+        CHECK_FALSE(pool.grant(askFor({limitOf(1, 1000.0)}), grantsStart - 1ms).isGranted);
+        pool.grant(askFor({limitOf(1, 1000.0)}), grantsStart);
+        CHECK(pool.grant(askFor({limitOf(1, 1000.0)}), grantsStart + 100ms).isGranted);
+        CHECK(LimitPool::HandoverTime >= PermitLifetime);
+    }
+    SECTION("grants half of its part at first, as some VMs may still know an earlier owner")
+    {
+        pool.setIsOwner(true, Start);
+        const Clock::time_point grantsStart = Start + LimitPool::HandoverTime;
+        pool.grant(askFor({limitOf(1, 40.0)}), grantsStart);
+        CHECK(countGranted(pool, askFor({limitOf(1, 40.0)}), 50, grantsStart + 500ms) == 5);
+    }
+    SECTION("starts each limit without permits and grants its domain's part of it")
+    {
+        pool.setIsOwner(true, Start);
+        CHECK(countGranted(pool, askFor({limitOf(1, 10.0)}), 50, Ready) == 0);
+        CHECK(countGranted(pool, askFor({limitOf(1, 10.0)}), 50, Ready + 200ms) == 1);
+        CHECK(countGranted(pool, askFor({limitOf(1, 10.0)}), 50, Ready + 10s) == 5);
+    }
+    SECTION("says when a permit is due if all that were denied came first")
+    {
+        pool.setIsOwner(true, Start);
+        const auto first = pool.grant(askFor({limitOf(1, 10.0)}), Ready);
+        REQUIRE(first.opensIn);
+        CHECK(*first.opensIn == 200ms);
+        CHECK(pool.grant(askFor({limitOf(1, 10.0)}), Ready).opensIn == 400ms);
+    }
+    SECTION("grants a request that can wait a permit for when its turn comes")
+    {
+        pool.setIsOwner(true, Start);
+        const auto ask = askFor({limitOf(1, 10.0)}, 0, 500ms);
+        CHECK(pool.grant(ask, Ready).permits == std::vector<Permit>{{1, 200ms}});
+        CHECK(pool.grant(ask, Ready).permits == std::vector<Permit>{{1, 400ms}});
+        CHECK_FALSE(pool.grant(ask, Ready).isGranted);
+        CHECK(pool.grant(ask, Ready + 150ms).permits == std::vector<Permit>{{1, 450ms}});
+        SECTION("and requests that cannot wait come after it")
+        {
+            CHECK_FALSE(pool.grant(askFor({limitOf(1, 10.0)}), Ready + 600ms).isGranted);
+            CHECK(pool.grant(askFor({limitOf(1, 10.0)}), Ready + 800ms).isGranted);
+        }
+    }
+    SECTION("chooses the target with more permits left")
+    {
+        pool.setIsOwner(true, Start);
+        pool.grant(askFor({limitOf(1, 10.0), limitOf(2, 20.0)}), Ready);
+        const auto outcome =
+            pool.grant(askFor({limitOf(1, 10.0), limitOf(2, 20.0)}), Ready + 300ms);
+        CHECK(outcome.permits == std::vector<Permit>{{2, 0ms}});
+    }
+    SECTION("grants any request for a target that is known to have ended its limit")
+    {
+        pool.setIsOwner(true, Start);
+        pool.grant(askFor({limitOf(1, 10.0)}), Ready);
+        pool.grant({0, 0, 0, 0ms, {{limitOf(1, std::nullopt, 5ms)}}}, Ready + 10ms);
+        CHECK(countGranted(pool, askFor({limitOf(1, 10.0, 8ms)}), 20, Ready + 10ms) == 20);
+        SECTION("unless a VM has heard a limit since")
+        {
+            CHECK(countGranted(pool, askFor({limitOf(1, 10.0, 1ms)}), 20, Ready + 10ms) == 0);
+        }
+    }
+    SECTION("goes by the newest report of a limit")
+    {
+        pool.setIsOwner(true, Start);
+        pool.grant(askFor({limitOf(1, 2.0)}), Ready);
+        CHECK(countGranted(pool, askFor({limitOf(1, 100.0, 500ms)}), 50, Ready + 500ms) == 0);
+        CHECK(countGranted(pool, askFor({limitOf(1, 2.0, 200ms)}), 50, Ready + 1000ms) == 1);
+    }
+    SECTION("grants a query all that it requires or nothing")
+    {
+        pool.setIsOwner(true, Start);
+        const PermitAsk query{0, 2, 2, 0ms, {{limitOf(1, 10.0)}, {limitOf(2, 2.0)}}};
+        pool.grant(query, Ready);
+        const auto denied = pool.grant(query, Ready + 300ms);
+        CHECK_FALSE(denied.isGranted);
+        CHECK(denied.permits.empty());
+        CHECK(pool.grant(askFor({limitOf(1, 10.0)}), Ready + 300ms).isGranted);
+        CHECK(pool.grant(query, Ready + 2s).permits == std::vector<Permit>{{1, 0ms}, {2, 0ms}});
+    }
+    SECTION("grants a query without the parts that it does not require")
+    {
+        pool.setIsOwner(true, Start);
+        const PermitAsk query{0, 1, 2, 0ms, {{limitOf(1, 10.0)}, {limitOf(2, 2.0)}}};
+        pool.grant(query, Ready);
+        const auto outcome = pool.grant(query, Ready + 300ms);
+        CHECK(outcome.isGranted);
+        CHECK(outcome.permits == std::vector<Permit>{{1, 0ms}});
+    }
+    SECTION("keeps some permits for the most urgent requests")
+    {
+        pool.setIsOwner(true, Start);
+        pool.grant(askFor({limitOf(1, 20.0)}), Ready);
+        const std::size_t less = countGranted(pool, askFor({limitOf(1, 20.0)}, 2), 50, Ready + 5s);
+        const std::size_t most = countGranted(pool, askFor({limitOf(1, 20.0)}, 0), 50, Ready + 5s);
+        CHECK(less == 6);
+        CHECK(most == 3);
+    }
+    SECTION("still lets a target be probed that takes nothing")
+    {
+        pool.setIsOwner(true, Start);
+        pool.grant(askFor({limitOf(1, 0.0)}), Ready);
+        CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 7s) == 0);
+        CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 8s) == 1);
+    }
+    SECTION("forgets targets that no one asks for")
+    {
+        pool.setIsOwner(true, Start);
+        pool.grant(askFor({limitOf(1, 1.0)}), Ready);
+        pool.grant(askFor({limitOf(2, 1.0)}), Ready + 2min);
+        CHECK(pool.targetCount() == 1);
+    }
+}
+
+TEST_CASE("Whatever VMs of whatever domains ask for, a target gets no more than its limit allows")
+{
+    for (std::uint64_t seed = 1; seed <= 1500; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        const auto below = [&random](std::uint64_t bound) { return random() % bound; };
+        const std::size_t domains = 1 + below(5);
+        const std::size_t vmsEach = 1 + below(26);
+        const double limit = below(4) == 0 ? static_cast<double>(below(5))
+                                           : 2.0 + static_cast<double>(below(400)) / 10.0;
+        const std::chrono::milliseconds maxWait(below(2) * below(1000));
+        // How many requests a second callers want sent, several times the limit at most.
+        const double wanted = (0.3 + static_cast<double>(below(60)) / 10.0) * (limit + 1.0);
+        std::vector<LimitPool> pools(domains, LimitPool(domains));
+        // In some runs half of the domains have two owners for a while, as VMs do not agree on who
+        // is alive.
+        std::vector<LimitPool> rivals(domains, LimitPool(domains));
+        const Clock::time_point rivalsFrom = Ready + std::chrono::milliseconds(below(8000));
+        const bool hasRivals = domains > 1 && below(3) == 0;
+        for (std::size_t i = 0; i < domains; ++i) {
+            pools[i].setIsOwner(true, Start);
+            if (hasRivals && i < domains / 2)
+                rivals[i].setIsOwner(true, rivalsFrom);
+        }
+        std::vector<TargetLimit> vms(domains * vmsEach);
+        std::vector<std::size_t> hearing;
+        Arrivals arrivals;
+        Clock::time_point now = Ready;
+        const auto gap = std::chrono::microseconds(static_cast<int>(1e6 / wanted));
+        while (now < Ready + 24s) {
+            now += gap * (50 + below(100)) / 100;
+            const std::size_t vm = below(vms.size());
+            TargetLimit &known = vms[vm];
+            if (!known.isLimited()) {
+                // A VM hears of the limit in its first response; the rule counts it later.
+                known.onResponse(limit, now, now);
+                continue;
+            }
+            const std::size_t domain = vm / vmsEach;
+            if (!known.allowsRequest(now)) {
+                const bool asksRival = vm % 2 == 0 && now >= rivalsFrom && now < rivalsFrom + 5s;
+                LimitPool &pool = asksRival ? rivals[domain] : pools[domain];
+                const auto outcome =
+                    pool.grant(askFor({limitOf(1, limit, std::chrono::milliseconds(below(300)))},
+                                      static_cast<std::uint32_t>(below(3))),
+                               now);
+                for (const Permit &permit : outcome.permits)
+                    known.addPermit(now + permit.validIn);
+            }
+            // Some permits are used late, or never.
+            if (below(4) != 0 && known.onSent(now))
+                arrivals.add(now);
+        }
+        CAPTURE(domains, vmsEach, limit, wanted, hasRivals);
+        REQUIRE(static_cast<double>(arrivals.mostIn4s()) <= allowedIn4s(limit));
+    }
+}
+
+TEST_CASE("Most of a limit is used wherever the requests come in")
+{
+    for (const std::size_t vmsEach : {2U, 26U}) {
+        const double limit = vmsEach == 2 ? 16.7 : 3.0;
+        constexpr std::size_t Domains = 3;
+        std::vector<LimitPool> pools(Domains, LimitPool(Domains));
+        for (LimitPool &pool : pools)
+            pool.setIsOwner(true, Start);
+        std::vector<TargetLimit> vms(Domains * vmsEach);
+        for (TargetLimit &known : vms)
+            known.onResponse(limit, Start, Start);
+        std::mt19937_64 random(7);
+        Arrivals arrivals;
+        // Twice as many requests as the limit, at VMs drawn at random.
+        const auto gap = std::chrono::microseconds(static_cast<int>(1e6 / limit / 2.0));
+        for (Clock::time_point now = Ready; now < Ready + 40s; now += gap) {
+            const std::size_t vm = random() % vms.size();
+            const auto outcome = pools[vm / vmsEach].grant(askFor({limitOf(1, limit)}), now);
+            if (outcome.isGranted)
+                arrivals.add(now);
+        }
+        CAPTURE(vmsEach, arrivals.total());
+        CHECK(static_cast<double>(arrivals.total()) >= 0.85 * limit * 40.0);
+        CHECK(static_cast<double>(arrivals.mostIn4s()) <= allowedIn4s(limit));
+    }
+}
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -251,7 +251,7 @@
     CHECK(targetError([](Json &json) { json["slots"] = 5'000'000'000; }) == "/slots: is too large");
 }
 
-TEST_CASE("A response of a target says whether the target leaves or wants a pause")
+TEST_CASE("A response of a target says whether the target leaves, wants a pause or names a limit")
 {
     using Fields = std::vector<HttpHeaders::Entry>;
     const auto noticeOf = [](int status, const Fields &fields) {
@@ -265,6 +265,10 @@
         return noticeOf(503, {{"Retry-After", value}}).pause;
     };
 
+    const auto limitOf = [&](const std::string &value) {
+        return noticeOf(200, {{"Server-Limit", value}}).limit;
+    };
+
     SECTION("it leaves only with the value 1, whatever the status")
     {
         for (const int status : {200, 404, 500, 503, 504})
@@ -304,8 +308,37 @@
         for (const int status : {200, 429, 500, 502})
             CHECK(noticeOf(status, {{"Retry-After", "2"}}).pause == 0ms);
     }
+    SECTION("it is limited to a decimal number of requests a second, whatever the status")
+    {
+        for (const int status : {200, 404, 500, 503, 504})
+            CHECK(noticeOf(status, {{"server-limit", " 16.7 "}}).limit == 16.7);
+        CHECK(limitOf("4") == 4.0);
+        CHECK(limitOf("0") == 0.0);
+        CHECK(limitOf("0.05") == 0.05);
+        CHECK(limitOf("1000000") == 1e6);
+    }
+    SECTION("it is not limited without a value, or with one that is negative or no number")
+    {
+        CHECK_FALSE(noticeOf(200, {}).limit);
+        for (const std::string value :
+             {"", " ", "-1", "-0", "few", "4/s", "4 5", "4,5", "nan", "inf", "1e3", "0x4", "+4"})
+            CHECK_FALSE(limitOf(value));
+    }
+    SECTION("it is not limited by a number out of range")
+    {
+        CHECK_FALSE(limitOf("1000000.1"));
+        CHECK_FALSE(limitOf(std::string(400, '9')));
+        CHECK_FALSE(limitOf(std::string("0.").append(400, '0').append("1")));
+    }
+    SECTION("of several limits the least valid one counts")
+    {
+        CHECK(noticeOf(200, {{"Server-Limit", "9"}, {"Server-Limit", "7"}, {"Server-Limit", "-1"}})
+                  .limit
+              == 7.0);
+    }
     SECTION("a response from another target at its address says nothing about it")
     {
-        CHECK(noticeOf(421, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}) == TargetNotice());
+        CHECK(noticeOf(421, {{"Server-Leaving", "1"}, {"Retry-After", "2"}, {"Server-Limit", "1"}})
+              == TargetNotice());
     }
 }
--- /dev/null
+++ b/test/unit/targetlimit_test.cpp
@@ -0,0 +1,94 @@
+#include <catch2/catch.hpp>
+
+#include "mangoshift/targetlimit.h"
+
+using namespace mangoshift;
+using namespace std::chrono_literals;
+using Change = TargetLimit::Change;
+
+namespace {
+
+const Clock::time_point Start{1000s};
+
+} // namespace
+
+TEST_CASE("A target that has named no limit gets any request")
+{
+    TargetLimit limit;
+    CHECK_FALSE(limit.isLimited());
+    CHECK(limit.allowsRequest(Start));
+    CHECK(limit.onSent(Start));
+    CHECK(limit.onResponse(std::nullopt, Start, Start) == Change::None);
+}
+
+TEST_CASE("A target that names a limit gets a request only for a permit")
+{
+    TargetLimit limit;
+    REQUIRE(limit.onResponse(5.0, Start, Start + 20ms) == Change::Named);
+    CHECK(limit.value() == 5.0);
+    CHECK_FALSE(limit.allowsRequest(Start + 20ms));
+    CHECK_FALSE(limit.onSent(Start + 20ms));
+
+    SECTION("each permit is good for one request")
+    {
+        limit.addPermit(Start + 30ms);
+        limit.addPermit(Start + 30ms);
+        CHECK(limit.onSent(Start + 40ms));
+        CHECK(limit.onSent(Start + 40ms));
+        CHECK_FALSE(limit.onSent(Start + 40ms));
+    }
+    SECTION("a permit expires")
+    {
+        limit.addPermit(Start + 30ms);
+        CHECK(limit.allowsRequest(Start + 30ms + PermitLifetime - 1ms));
+        CHECK_FALSE(limit.allowsRequest(Start + 30ms + PermitLifetime));
+        CHECK_FALSE(limit.onSent(Start + 30ms + PermitLifetime));
+    }
+    SECTION("a permit that is valid later is of no use before")
+    {
+        limit.addPermit(Start + 200ms);
+        limit.addPermit(Start + 100ms);
+        CHECK_FALSE(limit.onSent(Start + 99ms));
+        CHECK(limit.nextPermitAt(Start + 50ms) == Start + 100ms);
+        CHECK(limit.heldPermits(Start + 50ms) == 2);
+        CHECK(limit.onSent(Start + 150ms));
+        CHECK_FALSE(limit.onSent(Start + 150ms));
+        CHECK(limit.nextPermitAt(Start + 150ms) == Start + 200ms);
+        CHECK_FALSE(limit.nextPermitAt(Start + 200ms + PermitLifetime));
+    }
+    SECTION("permits for a higher limit are dropped when the limit falls")
+    {
+        limit.addPermit(Start + 30ms);
+        CHECK(limit.onResponse(2.0, Start + 10ms, Start + 40ms) == Change::Changed);
+        CHECK_FALSE(limit.allowsRequest(Start + 40ms));
+    }
+    SECTION("a response to an earlier request does not raise or end it")
+    {
+        CHECK(limit.onResponse(9.0, Start + 10ms, Start + 40ms) == Change::None);
+        CHECK(limit.onResponse(std::nullopt, Start + 10ms, Start + 40ms) == Change::None);
+        CHECK(limit.value() == 5.0);
+    }
+    SECTION("nor does a response to a request that is not known")
+    {
+        CHECK(limit.onResponse(std::nullopt, std::nullopt, Start + 1s) == Change::None);
+        CHECK(limit.isLimited());
+    }
+    SECTION("a response to a later request raises or ends it")
+    {
+        CHECK(limit.onResponse(9.0, Start + 50ms, Start + 70ms) == Change::Changed);
+        CHECK(limit.onResponse(std::nullopt, Start + 80ms, Start + 90ms) == Change::Ended);
+        CHECK(limit.allowsRequest(Start + 90ms));
+        SECTION("and the permits that were left do not serve the next limit")
+        {
+            limit.addPermit(Start + 90ms);
+            CHECK(limit.onResponse(5.0, Start + 100ms, Start + 110ms) == Change::Named);
+            CHECK_FALSE(limit.allowsRequest(Start + 110ms));
+        }
+    }
+    SECTION("a limit that is named again is known to hold since then")
+    {
+        CHECK(limit.onResponse(5.0, Start, Start + 60ms) == Change::None);
+        CHECK(limit.heardAt() == Start + 60ms);
+        CHECK(limit.onResponse(std::nullopt, Start + 50ms, Start + 70ms) == Change::None);
+    }
+}
