Refuse at once what a stopping VM cannot finish

Cause: a leaving VM took every request until it closed its connections and ended what was left shortly before its deadline. Nothing asked how long a request takes.

Change: `canFinishBeforeStop` decides by the recent responses of the route, the slowness of its targets, the queue and the caller's time limit; the last half second takes nothing. The rest is refused as not run, to be repeated on another VM.

--- a/include/mangoshift/arrivalcheck.h
+++ b/include/mangoshift/arrivalcheck.h
@@ -16,6 +16,22 @@
 bool canFinishInTime(std::span<const Clock::duration> waits, Clock::duration callLatency,
                      Clock::duration timeLeft, std::size_t minParts);
 
+/// What is known in advance of how long a request will take.
+struct DurationOutlook
+{
+    /// How long almost all requests of its kind take, with the wait for a target; zero if that is
+    /// not known.
+    Clock::duration usual{};
+    /// How long the operator expects it to take.
+    Clock::duration target{};
+    /// How long the caller waits for it.
+    Clock::duration timeLeft{};
+};
+
+/// Returns whether a VM that stops in `timeUntilStop` may take a new request: it is expected to be
+/// finished by then, or its caller waits no longer. In the last moments none is taken.
+bool canFinishBeforeStop(Clock::duration timeUntilStop, const DurationOutlook &request);
+
 /// Whether a target of a shard can take a request, as far as a VM knows.
 struct ShardOutlook
 {
--- a/src/core/arrivalcheck.cpp
+++ b/src/core/arrivalcheck.cpp
@@ -1,10 +1,27 @@
 #include "mangoshift/arrivalcheck.h"
 
 #include <algorithm>
+#include <chrono>
 #include <vector>
 
 namespace mangoshift {
 
+namespace {
+
+/// So shortly before a stop any delay of the VM or of a target would cut a request off.
+constexpr std::chrono::milliseconds LastMoments{500};
+
+} // namespace
+
+bool canFinishBeforeStop(Clock::duration timeUntilStop, const DurationOutlook &request)
+{
+    if (timeUntilStop <= LastMoments)
+        return false;
+    const Clock::duration expected =
+        request.usual > Clock::duration::zero() ? request.usual : request.target;
+    return std::min(expected, request.timeLeft) <= timeUntilStop;
+}
+
 bool canFinishInTime(std::span<const Clock::duration> waits, Clock::duration callLatency,
                      Clock::duration timeLeft, std::size_t minParts)
 {
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "http/httpstatus.h"
+#include "mangoshift/arrivalcheck.h"
 
 namespace mangoshift {
 
@@ -21,6 +22,13 @@
 /// A request that is still pending this long before the leave deadline receives a final response.
 constexpr std::chrono::milliseconds FinalResponseMargin{400};
 constexpr std::size_t MaxBalancerConnections = 64;
+/// A leaving VM takes a request if the request lasts as long as this share of its route's recent
+/// ones.
+constexpr double UsualQuantile = 0.99;
+constexpr std::uint32_t MinUsualSamples = 30;
+/// When the caller of a request that a leaving VM does not take should repeat it: another VM serves
+/// it at once.
+constexpr std::chrono::milliseconds LeavingRetryAfter{20};
 
 /// Returns a target's limit; null if it has none.
 nlohmann::json limitJson(const TargetLimit &limit)
@@ -249,6 +257,12 @@
         reject(request, *rejection);
         return;
     }
+    if (m_isLeaving && !canFinishBeforeLeaving(request)) {
+        reject(request,
+               {httpstatus::ServiceUnavailable,
+                {Execution::NotRun, Reason::Draining, LeavingRetryAfter}});
+        return;
+    }
     const auto exchange = std::make_shared<RequestExchange>(
         m_state, std::move(request),
         [this](const std::shared_ptr<RequestExchange> &ended) { onFinished(ended); });
@@ -256,6 +270,35 @@
     exchange->start();
 }
 
+bool EntryDuty::canFinishBeforeLeaving(const IncomingRequest &request)
+{
+    const Route &route = *request.route;
+    const LatencyDigest &latencies = m_state.routes[route.name].partLatencies;
+    std::vector<std::string> services;
+    if (const auto *fanOut = std::get_if<FanOutTo>(&route.destination))
+        services = fanOut->shards;
+    else
+        for (const auto &share : std::get<ForwardTo>(route.destination).services)
+            services.push_back(share.service);
+    const Clock::duration typical = latencies.quantile(0.5);
+    DurationOutlook outlook{latencies.quantile(UsualQuantile), route.latencyTarget,
+                            request.deadline - request.receivedAt};
+    Clock::duration wait{};
+    for (const std::string &service : services) {
+        wait = std::max(wait, m_state.directory.expectedWait(service, typical, request.receivedAt));
+        if (!m_state.directory.hasFreeSlot(service, request.receivedAt))
+            wait = std::max(wait, typical);
+        const auto slowed = std::chrono::duration_cast<Clock::duration>(
+            typical * m_state.directory.leastSlowness(service));
+        outlook.usual = std::max(outlook.usual, slowed);
+    }
+    // A few responses tell too little of the slowest ones.
+    if (latencies.samples() < MinUsualSamples)
+        outlook.usual = std::max(outlook.usual, outlook.target);
+    outlook.usual += wait;
+    return canFinishBeforeStop(m_leaveDeadline - FinalResponseMargin - request.receivedAt, outlook);
+}
+
 void EntryDuty::reject(const IncomingRequest &request, const Rejection &rejection)
 {
     m_state.metrics.refusals.Add({{"reason", std::string(toString(rejection.verdict.reason))}})
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -113,6 +113,8 @@
     CallerEvents readyEvents();
     void onRequest(const CallerConnectionPtr &connection, HttpRequest http);
     void onReadyRequest(const CallerConnectionPtr &connection, const HttpRequest &http);
+    /// Returns whether a leaving VM may take a request.
+    bool canFinishBeforeLeaving(const IncomingRequest &request);
     void reject(const IncomingRequest &request, const Rejection &rejection);
     void onFinished(const std::shared_ptr<RequestExchange> &exchange);
     void updateReady();
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -195,6 +195,10 @@
     /// sent last.
     Clock::duration expectedWait(const std::string &service, Clock::duration callLatency,
                                  Clock::time_point now) const;
+    /// Returns whether a target of a service can be sent a call now.
+    bool hasFreeSlot(const std::string &service, Clock::time_point now) const;
+    /// Returns how many times as long as usual the fastest target of a service takes, 1 at least.
+    double leastSlowness(const std::string &service) const;
     /// Drops a waiting call, identified by its service and request.
     void dropWaiting(const std::string &service, const ForwardedRequestPtr &request);
     /// Closes overdue connections, sends waiting calls, and forgets removed targets that have no
--- a/src/entry/targetdirectory_waiting.cpp
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -46,6 +46,27 @@
     return callLatency * (callsAhead + 1) / std::max<std::uint32_t>(capacity, 1);
 }
 
+bool TargetDirectory::hasFreeSlot(const std::string &service, Clock::time_point now) const
+{
+    ServiceCall call;
+    call.service = service;
+    const Candidates found = candidates(call, now);
+    return std::any_of(found.handles.begin(), found.handles.end(),
+                       [](const TargetHandlePtr &handle) { return handle->load.hasCapacity(); });
+}
+
+double TargetDirectory::leastSlowness(const std::string &service) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end() || it->second.empty())
+        return 1.0;
+    const auto fastest =
+        std::min_element(it->second.begin(), it->second.end(), [](const auto &a, const auto &b) {
+            return a->load.slowness() < b->load.slowness();
+        });
+    return std::max(1.0, (*fastest)->load.slowness());
+}
+
 void TargetDirectory::sendWaiting(const std::string &service, Clock::time_point now)
 {
     const auto it = m_waiting.find(service);
--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -21,6 +21,7 @@
 /// What a refusal asks for in mode "pause".
 constexpr milliseconds PauseTime{1500};
 constexpr std::string_view LimitMode = "limit=";
+constexpr std::string_view LateMode = "late=";
 /// How much of an endless body is written at a time.
 constexpr std::size_t EndlessBytes = 16U << 10U;
 /// The deadline of a request without a valid X-Deadline-Ms header.
@@ -179,13 +180,15 @@
 {
     ++runCounts[job.requestId];
     recordEvent("ran", job.requestId);
-    if (m_options.serviceTime.count() == 0) {
+    const milliseconds delay(mode.starts_with(LateMode) ? std::stoi(mode.substr(LateMode.size()))
+                                                        : 0);
+    if (m_options.serviceTime.count() == 0 && delay.count() == 0) {
         respondTo(job, true);
         return;
     }
     const Clock::time_point now = Clock::now();
     const milliseconds serviceTime =
-        m_options.serviceTime * (mode == "slow" ? SlowFactor : 1) + remainingPause(now);
+        m_options.serviceTime * (mode == "slow" ? SlowFactor : 1) + delay + remainingPause(now);
     const Clock::time_point end = std::min(now + serviceTime, job.deadline);
     job.timer = std::make_unique<asio::basic_waitable_timer<Clock>>(m_io, end);
     job.timer->async_wait([this, number = job.number](const asio::error_code &error) {
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -734,6 +734,40 @@
     CHECK(contains(system.log(), "event=vm_stopped"));
 }
 
+TEST_CASE("A VM that is stopped takes no request that it cannot finish")
+{
+    EntrySystem system;
+    for (const std::string target : {"i-oa", "i-ob"})
+        system.setTargetMode(target, "late=1500");
+    for (const int status : system.sendOrdersAtOnce(2, "known-"))
+        CHECK(status == 200);
+    system.changeSettings(1, {{"stop_patience_ms", 2500}});
+    REQUIRE(eventually([&] { return contains(system.log(), "event=settings_reloaded"); }));
+    system.vm().signal(SIGTERM);
+    // Orders may run at most once, so a caller cannot repeat one that may have run.
+    std::vector<std::pair<std::string, std::future<int>>> statuses;
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "stop-" + std::to_string(i);
+        statuses.emplace_back(id, std::async(std::launch::async, [&system, id] {
+                                  const auto response = system.sendRequest("POST", "/orders/x", id);
+                                  return response ? response->status : 0;
+                              }));
+        std::this_thread::sleep_for(MinProbePause);
+    }
+    int refused = 0;
+    for (auto &[id, status] : statuses) {
+        CAPTURE(id);
+        const int got = status.get();
+        CHECK((got == 200 || got == 503 || got == 0));
+        if (got == 200)
+            continue;
+        CHECK(system.targetsThatRan(id).empty());
+        refused += got == 503 ? 1 : 0;
+    }
+    CHECK(refused > 0);
+    CHECK(system.vm().wait() == 0);
+}
+
 TEST_CASE("Settings that change while a VM runs")
 {
     EntrySystem system;
--- a/test/unit/arrivalcheck_test.cpp
+++ b/test/unit/arrivalcheck_test.cpp
@@ -8,6 +8,33 @@
 using std::chrono::milliseconds;
 using namespace std::chrono_literals;
 
+TEST_CASE("A VM that stops takes a request only if it expects to finish it")
+{
+    const Clock::duration untilStop = 2s;
+
+    SECTION("as requests of its kind usually take no longer")
+    {
+        CHECK(canFinishBeforeStop(untilStop, {2s, 100ms, 10s}));
+        CHECK_FALSE(canFinishBeforeStop(untilStop, {2001ms, 100ms, 10s}));
+    }
+    SECTION("as it is to take no longer, if nothing else is known")
+    {
+        CHECK(canFinishBeforeStop(untilStop, {0ms, 2s, 10s}));
+        CHECK_FALSE(canFinishBeforeStop(untilStop, {0ms, 2001ms, 10s}));
+    }
+    SECTION("or as its caller waits no longer")
+    {
+        CHECK(canFinishBeforeStop(untilStop, {5s, 5s, 2s}));
+        CHECK_FALSE(canFinishBeforeStop(untilStop, {5s, 5s, 2001ms}));
+    }
+    SECTION("and none in the last moments, however short")
+    {
+        CHECK(canFinishBeforeStop(501ms, {1ms, 1ms, 1ms}));
+        CHECK_FALSE(canFinishBeforeStop(500ms, {1ms, 1ms, 1ms}));
+        CHECK_FALSE(canFinishBeforeStop(-1s, {1ms, 1ms, 1ms}));
+    }
+}
+
 TEST_CASE("A fan-out is refused on arrival only if queues make it late")
 {
     const milliseconds latency(20);
