Lend what a failure domain leaves of a target's limit to the others

Change: a pool owner that has denied requests lately asks the owners of the other domains for what these do not use. The number of domains also grows with those that are met, for settings without the list.

--- a/include/mangoshift/limitpool.h
+++ b/include/mangoshift/limitpool.h
@@ -71,6 +71,16 @@
     bool operator==(const PermitOutcome &) const = default;
 };
 
+/// A part of a limit that one failure domain lends to another for a time.
+struct LimitLoan
+{
+    LimitKey target = 0;
+    /// In requests a second.
+    double rate = 0.0;
+
+    bool operator==(const LimitLoan &) const = default;
+};
+
 /// Divides what limited targets take among the VMs of one failure domain.
 ///
 /// Each failure domain has an equal part of each limit, and one pool owner that grants it, so that
@@ -78,7 +88,12 @@
 /// the limit together. A domain's part of a limit builds up over time from nothing, up to one
 /// permit and what is due in `MaxBurst`. A request that can wait is granted a permit for when its
 /// turn comes, so that it knows at once whether it will come in time. Limits are as new as the
-/// newest report of a VM of the domain. Reads no clock. Not thread safe.
+/// newest report of a VM of the domain.
+///
+/// A domain whose requests find no room borrows from the others what these do not use. The lender
+/// goes without it for `LoanTime` from its reply on, and the borrower uses it for `LoanTime` from
+/// its request on, which is earlier: so the sum of all parts never exceeds the limit, whichever
+/// messages are late or lost. Reads no clock. Not thread safe.
 class LimitPool
 {
 public:
@@ -91,6 +106,9 @@
     /// all VMs agree on who is alive, some may still get permits from the earlier owner.
     static constexpr std::chrono::milliseconds NewOwnerTime{4000};
     static constexpr double NewOwnerShare = 0.5;
+    /// How long a loan lasts. No longer than `HandoverTime`, as a new owner does not know what the
+    /// earlier one has lent.
+    static constexpr std::chrono::milliseconds LoanTime{1000};
     /// A target that names a lower limit, or zero, gets requests at this rate of all VMs together,
     /// in requests a second, as it can end its limit in a response only.
     static constexpr double MinLimit = 0.25;
@@ -98,26 +116,49 @@
     /// `failureDomains` is the number of failure domains that share each limit.
     explicit LimitPool(std::size_t failureDomains);
 
+    /// Raises the number of failure domains that share each limit; a lower number is ignored.
+    void growFailureDomains(std::size_t failureDomains);
     /// Sets whether this VM owns the pool; at first it does not.
     void setIsOwner(bool isOwner, Clock::time_point now);
     PermitOutcome grant(const PermitAsk &ask, Clock::time_point now);
+    /// Returns the targets for which requests were denied lately, and that may be borrowed for.
+    std::vector<HeardLimit> wantedLoans(Clock::time_point now);
+    /// Returns what this domain lends to another one of what it has no use for.
+    std::vector<LimitLoan> lend(const std::vector<HeardLimit> &wanted, Clock::time_point now);
+    /// Records a loan that was requested at `requestedAt`.
+    void onLoan(const LimitLoan &loan, Clock::time_point requestedAt, Clock::time_point now);
     std::size_t targetCount() const { return m_accounts.size(); }
 
 private:
+    /// A change of an account's rate that ends.
+    struct RateChange
+    {
+        double rate = 0.0;
+        Clock::time_point until;
+    };
+
     struct Account
     {
         std::optional<double> limit;
         Clock::time_point heardAt{};
         /// Below zero if permits have been granted that will be due later.
         double permits = 0.0;
-        /// A decaying count of the permits that were not granted.
+        /// Decaying counts of the permits that were granted and denied.
+        double granted = 0.0;
         double denied = 0.0;
+        /// Loans from other domains, with a positive rate, and to them, with a negative one.
+        std::vector<RateChange> loans;
         Clock::time_point updatedAt{};
     };
 
     Account &account(const HeardLimit &heard, Clock::time_point now);
-    /// The domain's part of the limit, in requests a second.
+    /// The domain's own part of the limit, in requests a second.
+    double ownRate(const Account &account) const;
+    /// The rate at which permits are due, with loans.
     double rate(const Account &account) const;
+    /// Adds the permits that have become due since the last update, and drops loans that have
+    /// ended.
+    void accrue(Account &account, Clock::time_point now) const;
     double capacity(const Account &account) const;
     /// How many permits an account must hold before one is granted to a request of a priority.
     double level(const Account &account, std::uint32_t priority) const;
--- a/include/mangoshift/retrypool.h
+++ b/include/mangoshift/retrypool.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -23,6 +24,8 @@
 /// Returns the VM that owns the pools of `self`'s failure domain: the first by rendezvous hash
 /// among the live VMs of the domain that do not leave, or `self` if no other is known.
 VmId poolOwner(const MemberView &view, const Member &self);
+/// Returns the VM that owns the pools of another failure domain; no value if none is known.
+std::optional<VmId> poolOwnerOf(const MemberView &view, const std::string &failureDomain);
 
 /// The pooled part of the retry budgets of all services, for the VMs of one failure domain.
 ///
--- a/include/mangoshift/targetlimit.h
+++ b/include/mangoshift/targetlimit.h
@@ -40,7 +40,7 @@
     Clock::time_point heardAt() const { return m_heardAt; }
 
     /// Adds a permit that is valid from `validFrom` on.
-    void addPermit(Clock::time_point validFrom);
+    void addPermit(Clock::time_point validFrom, Clock::time_point now);
     /// Returns the number of permits that can be used now.
     std::size_t permits(Clock::time_point now) const;
     /// Returns the number of permits that can be used now or later.
--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -17,8 +17,17 @@
 /// number of ranks that are told apart.
 constexpr double ReserveShare = 0.15;
 constexpr std::uint32_t MaxReserveRank = 2;
-/// How fast denied permits are forgotten.
-constexpr Seconds DeniedMemory{1.0};
+/// How fast granted and denied permits are forgotten.
+constexpr Seconds CountMemory{1.0};
+/// The least rate by which a wait is estimated.
+constexpr double MinRate = 1e-6;
+/// A domain that was denied less than this many permits lately borrows nothing; one that was denied
+/// more lends nothing.
+constexpr double MinDenied = 0.5;
+/// What a domain keeps for itself beyond its recent use, and the share of the rest that it lends at
+/// a time, as several domains may ask.
+constexpr double KeptUse = 1.25;
+constexpr double LentShare = 0.7;
 constexpr std::chrono::seconds AccountLifetime{60};
 constexpr milliseconds MaxWait = std::chrono::hours(1);
 
@@ -34,6 +43,11 @@
 {
 }
 
+void LimitPool::growFailureDomains(std::size_t failureDomains)
+{
+    m_failureDomains = std::max(m_failureDomains, failureDomains);
+}
+
 void LimitPool::setIsOwner(bool isOwner, Clock::time_point now)
 {
     if (isOwner && !m_isOwner)
@@ -43,12 +57,36 @@
     m_isOwner = isOwner;
 }
 
-double LimitPool::rate(const Account &account) const
+double LimitPool::ownRate(const Account &account) const
 {
     return std::max(account.limit.value_or(0.0), MinLimit) / static_cast<double>(m_failureDomains)
         * m_rateShare;
 }
 
+double LimitPool::rate(const Account &account) const
+{
+    double rate = ownRate(account);
+    for (const RateChange &loan : account.loans)
+        rate += loan.rate;
+    return std::max(rate, MinRate);
+}
+
+void LimitPool::accrue(Account &account, Clock::time_point now) const
+{
+    const Seconds elapsed = std::max(now - account.updatedAt, Clock::duration::zero());
+    double due = elapsed.count() * ownRate(account);
+    for (const RateChange &loan : account.loans) {
+        const Seconds lasted = std::clamp(loan.until - account.updatedAt, Clock::duration::zero(),
+                                          now - account.updatedAt);
+        due += lasted.count() * loan.rate;
+    }
+    std::erase_if(account.loans, [now](const RateChange &loan) { return loan.until <= now; });
+    account.permits = std::min(account.permits + due, capacity(account));
+    account.denied *= std::exp(-elapsed / CountMemory);
+    account.granted *= std::exp(-elapsed / CountMemory);
+    account.updatedAt = now;
+}
+
 double LimitPool::capacity(const Account &account) const
 {
     return 1.0 + rate(account) * Seconds(MaxBurst).count();
@@ -66,17 +104,17 @@
     const auto [it, isNew] = m_accounts.try_emplace(heard.target);
     Account &account = it->second;
     const Clock::time_point heardAt = now - heard.age;
-    if (!isNew) {
-        const Seconds elapsed = std::max(now - account.updatedAt, Clock::duration::zero());
-        account.permits =
-            std::min(account.permits + elapsed.count() * rate(account), capacity(account));
-        account.denied *= std::exp(-elapsed / DeniedMemory);
-    }
-    account.updatedAt = now;
+    if (isNew)
+        account.updatedAt = now;
+    accrue(account, now);
     if (isNew || heardAt > account.heardAt) {
         // A limit that is named anew starts without permits.
         if (!account.limit)
             account.permits = 0.0;
+        // What was lent of a higher limit is more than a lower one allows.
+        if (account.limit && heard.limit && *heard.limit < *account.limit)
+            for (RateChange &loan : account.loans)
+                loan.rate *= *heard.limit / *account.limit;
         account.limit = heard.limit;
         account.heardAt = heardAt;
         account.permits = std::min(account.permits, capacity(account));
@@ -155,8 +193,10 @@
         outcome.opensIn = opensIn(deniedParts, ask.required - grantedNeeded, ask.priority);
     }
     for (const Permit &permit : outcome.permits)
-        if (Account &account = m_accounts.at(permit.target); account.limit)
+        if (Account &account = m_accounts.at(permit.target); account.limit) {
             account.permits -= 1.0;
+            account.granted += 1.0;
+        }
     for (const auto *part : deniedParts)
         countDenied(*part);
     return outcome;
@@ -177,6 +217,50 @@
     return *last;
 }
 
+std::vector<HeardLimit> LimitPool::wantedLoans(Clock::time_point now)
+{
+    std::vector<HeardLimit> wanted;
+    if (!m_isOwner || now < m_grantsStartAt)
+        return wanted;
+    for (auto &[target, account] : m_accounts) {
+        accrue(account, now);
+        if (account.limit && account.denied >= MinDenied)
+            wanted.push_back({target, account.limit,
+                              std::chrono::duration_cast<milliseconds>(now - account.heardAt)});
+    }
+    return wanted;
+}
+
+std::vector<LimitLoan> LimitPool::lend(const std::vector<HeardLimit> &wanted, Clock::time_point now)
+{
+    std::vector<LimitLoan> loans;
+    if (!m_isOwner || now < m_grantsStartAt)
+        return loans;
+    forgetUnused(now);
+    for (const HeardLimit &heard : wanted) {
+        Account &account = this->account(heard, now);
+        double spare = ownRate(account) - KeptUse * account.granted / CountMemory.count();
+        for (const RateChange &loan : account.loans)
+            spare += std::min(loan.rate, 0.0);
+        const double lent = spare * LentShare;
+        if (!account.limit || account.denied >= MinDenied || lent < MinRate)
+            continue;
+        account.loans.push_back({-lent, now + LoanTime});
+        loans.push_back({heard.target, lent});
+    }
+    return loans;
+}
+
+void LimitPool::onLoan(const LimitLoan &loan, Clock::time_point requestedAt, Clock::time_point now)
+{
+    const auto found = m_accounts.find(loan.target);
+    if (!m_isOwner || found == m_accounts.end() || loan.rate <= 0.0
+        || requestedAt + LoanTime <= now)
+        return;
+    accrue(found->second, now);
+    found->second.loans.push_back({loan.rate, requestedAt + LoanTime});
+}
+
 void LimitPool::forgetUnused(Clock::time_point now)
 {
     if (now < m_forgetAt)
--- a/src/core/retrypool.cpp
+++ b/src/core/retrypool.cpp
@@ -4,20 +4,46 @@
 
 namespace mangoshift {
 
-VmId poolOwner(const MemberView &view, const Member &self)
+namespace {
+
+ShardKey poolKey(const std::string &failureDomain)
 {
-    const ShardKey key = shardKey("retry-pool", self.failureDomain);
-    VmId owner = self.vm;
-    // A VM that leaves owns the pool only if there is no other.
-    std::uint64_t best = self.isLeaving ? 0 : rendezvousWeight(key, self.vm);
+    return shardKey("retry-pool", failureDomain);
+}
+
+/// Returns the first VM of a domain by rendezvous hash that does not leave; never `except`.
+std::optional<VmId> firstVmOf(const MemberView &view, const std::string &failureDomain,
+                              const VmId &except)
+{
+    const ShardKey key = poolKey(failureDomain);
+    std::optional<VmId> first;
+    std::uint64_t best = 0;
     for (const Member &member : view.members) {
         const std::uint64_t weight = rendezvousWeight(key, member.vm);
-        if (member.failureDomain != self.failureDomain || member.isLeaving || weight <= best)
+        if (member.failureDomain != failureDomain || member.isLeaving || member.vm == except
+            || (first && weight <= best))
             continue;
-        owner = member.vm;
+        first = member.vm;
         best = weight;
     }
-    return owner;
+    return first;
+}
+
+} // namespace
+
+VmId poolOwner(const MemberView &view, const Member &self)
+{
+    const auto other = firstVmOf(view, self.failureDomain, self.vm);
+    const ShardKey key = poolKey(self.failureDomain);
+    // A VM that leaves owns the pools only if there is no other.
+    const bool isOwner = !other
+        || (!self.isLeaving && rendezvousWeight(key, self.vm) >= rendezvousWeight(key, *other));
+    return isOwner ? self.vm : *other;
+}
+
+std::optional<VmId> poolOwnerOf(const MemberView &view, const std::string &failureDomain)
+{
+    return firstVmOf(view, failureDomain, {});
 }
 
 RetryPool::RetryPool(const RetryBudgetTerms &terms)
--- a/src/core/targetlimit.cpp
+++ b/src/core/targetlimit.cpp
@@ -25,8 +25,11 @@
     return change;
 }
 
-void TargetLimit::addPermit(Clock::time_point validFrom)
+void TargetLimit::addPermit(Clock::time_point validFrom, Clock::time_point now)
 {
+    // Permits that were never used are forgotten here.
+    while (!m_permits.empty() && m_permits.front() <= now - PermitLifetime)
+        m_permits.pop_front();
     m_permits.insert(std::upper_bound(m_permits.begin(), m_permits.end(), validFrom), validFrom);
 }
 
--- a/src/entry/permitaccess.cpp
+++ b/src/entry/permitaccess.cpp
@@ -1,5 +1,7 @@
 #include "entry/permitaccess.h"
 
+#include <set>
+#include <string>
 #include <utility>
 
 #include "base/log.h"
@@ -8,6 +10,13 @@
 
 namespace mangoshift {
 
+namespace {
+
+/// How often an owner borrows, which is well within the time of a loan.
+constexpr std::chrono::milliseconds BorrowInterval{250};
+
+} // namespace
+
 PermitAccess::PermitAccess(Member self, std::size_t failureDomains, Sinks sinks)
     : m_self(std::move(self))
     , m_sinks(std::move(sinks))
@@ -20,6 +29,10 @@
 void PermitAccess::onMembers(MemberViewPtr view, Clock::time_point now)
 {
     m_view = std::move(view);
+    std::set<std::string> domains{m_self.failureDomain};
+    for (const Member &member : m_view->members)
+        domains.insert(member.failureDomain);
+    m_pool.growFailureDomains(domains.size());
     updateOwner(now);
 }
 
@@ -46,8 +59,42 @@
         m_sinks.sendToVm(m_owner, makeFrame(toWire(request)));
 }
 
+void PermitAccess::onTick(Clock::time_point now)
+{
+    if (m_owner != m_self.vm || now < m_borrowAt)
+        return;
+    m_borrowAt = now + BorrowInterval;
+    std::erase_if(m_loanRequests,
+                  [now](const auto &each) { return now - each.second >= LimitPool::LoanTime; });
+    const std::vector<HeardLimit> wanted = m_pool.wantedLoans(now);
+    if (wanted.empty())
+        return;
+    std::set<std::string> domains;
+    for (const Member &member : m_view->members)
+        domains.insert(member.failureDomain);
+    domains.erase(m_self.failureDomain);
+    for (const std::string &domain : domains) {
+        const auto owner = poolOwnerOf(*m_view, domain);
+        if (!owner)
+            continue;
+        m_loanRequests[++m_lastLoanRequest] = now;
+        m_sinks.sendToVm(*owner, makeFrame(toWire(wanted, m_lastLoanRequest)));
+    }
+}
+
 bool PermitAccess::onFrame(LinkId link, const wire::FrameT &frame, Clock::time_point now)
 {
+    if (const wire::LoanRequestT *request = frame.body.AsLoanRequest()) {
+        m_sinks.sendOnLink(
+            link, makeFrame(toWire(m_pool.lend(fromWire(*request), now), request->sequence)));
+        return true;
+    }
+    if (const wire::LoanReplyT *reply = frame.body.AsLoanReply()) {
+        if (const auto request = m_loanRequests.extract(reply->sequence); !request.empty())
+            for (const LimitLoan &loan : fromWire(*reply))
+                m_pool.onLoan(loan, request.mapped(), now);
+        return true;
+    }
     if (const wire::PermitRequestT *request = frame.body.AsPermitRequest()) {
         m_sinks.sendOnLink(link, makeFrame(toWire(grant(fromWire(*request), now))));
         return true;
--- a/src/entry/permitaccess.h
+++ b/src/entry/permitaccess.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 
 #include "duties/messages.h"
 #include "mangoshift/limitpool.h"
@@ -10,8 +12,8 @@
 namespace mangoshift {
 
 /// Obtains permits from the limit pool of this VM's failure domain: grants them itself if this VM
-/// is the pool owner, and requests them from the pool owner otherwise. Belongs to the registry
-/// duty's thread.
+/// is the pool owner, and requests them from the pool owner otherwise. Pool owners of different
+/// domains lend to each other. Belongs to the registry duty's thread.
 class PermitAccess
 {
 public:
@@ -24,7 +26,8 @@
         std::function<void(PermitReply)> onPermits;
     };
 
-    /// `failureDomains` is the number of failure domains that share each limit.
+    /// `failureDomains` is the least number of failure domains that share each limit; it grows if
+    /// VMs of more domains are met.
     PermitAccess(Member self, std::size_t failureDomains, Sinks sinks);
 
     /// Updates the owner of the pool.
@@ -33,6 +36,8 @@
     void onLeaving(Clock::time_point now);
     /// Requests permits for this VM. The reply is passed to `Sinks::onPermits`.
     void request(const PermitRequest &request, Clock::time_point now);
+    /// Borrows for the targets that lack permits; to be called several times a second.
+    void onTick(Clock::time_point now);
     /// Handles a frame that concerns the pool. Returns false for any other frame.
     bool onFrame(LinkId link, const wire::FrameT &frame, Clock::time_point now);
     const VmId &owner() const { return m_owner; }
@@ -46,6 +51,10 @@
     LimitPool m_pool;
     MemberViewPtr m_view;
     VmId m_owner;
+    std::uint64_t m_lastLoanRequest = 0;
+    /// When each request for loans that may still be of use was sent, by its sequence number.
+    std::map<std::uint64_t, Clock::time_point> m_loanRequests;
+    Clock::time_point m_borrowAt{};
 };
 
 } // namespace mangoshift
--- a/src/entry/permitwire.cpp
+++ b/src/entry/permitwire.cpp
@@ -119,4 +119,39 @@
     return result;
 }
 
+wire::LoanRequestT toWire(const std::vector<HeardLimit> &wanted, std::uint64_t sequence)
+{
+    wire::LoanRequestT request;
+    request.sequence = sequence;
+    for (const HeardLimit &heard : wanted)
+        request.targets.push_back(toWire(heard));
+    return request;
+}
+
+wire::LoanReplyT toWire(const std::vector<LimitLoan> &loans, std::uint64_t sequence)
+{
+    wire::LoanReplyT reply;
+    reply.sequence = sequence;
+    // Rounded down, so that no more is used than was lent.
+    for (const LimitLoan &loan : loans)
+        reply.loans.emplace_back(loan.target, bounded(std::floor(loan.rate * Thousand)));
+    return reply;
+}
+
+std::vector<HeardLimit> fromWire(const wire::LoanRequestT &request)
+{
+    std::vector<HeardLimit> wanted;
+    for (const wire::HeardLimit &heard : request.targets)
+        wanted.push_back(fromWire(heard));
+    return wanted;
+}
+
+std::vector<LimitLoan> fromWire(const wire::LoanReplyT &reply)
+{
+    std::vector<LimitLoan> loans;
+    for (const wire::LimitLoan &loan : reply.loans)
+        loans.push_back({loan.target(), loan.rate_milli() / Thousand});
+    return loans;
+}
+
 } // namespace mangoshift
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -145,6 +145,7 @@
         if (error)
             return;
         m_members->onTick();
+        m_permits.onTick(Clock::now());
         if (m_storeView.hasState())
             m_metrics.stateAge.Set(
                 std::chrono::duration<double>(Clock::now() - m_storeView.lastContact()).count());
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -313,7 +313,7 @@
         return false;
     const Clock::time_point now = Clock::now();
     if (call.permit && call.permit->target == target->limitKey && call.permit->isValid(now))
-        target->standing->limit().addPermit(now);
+        target->standing->limit().addPermit(now, now);
     else if (call.permit)
         addSparePermit(*call.permit);
     target->standing->limit().onSent(now);
--- a/src/entry/targetdirectory_limits.cpp
+++ b/src/entry/targetdirectory_limits.cpp
@@ -99,7 +99,7 @@
 void TargetDirectory::addSparePermit(const HeldPermit &permit)
 {
     if (const auto target = m_byLimitKey.find(permit.target); target != m_byLimitKey.end())
-        target->second->standing->limit().addPermit(permit.validFrom);
+        target->second->standing->limit().addPermit(permit.validFrom, Clock::now());
 }
 
 std::string TargetDirectory::serviceOf(const HeldPermit &permit) const
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -16,12 +16,18 @@
     return numbers == nullptr || numbers->size() == 0 || isAligned(numbers->Data());
 }
 
+/// Checks a vector of structs with 64-bit integers.
+template <typename Struct>
+bool areStructsAligned(const flatbuffers::Vector<const Struct *> *structs)
+{
+    return structs == nullptr || structs->size() == 0 || isAligned(structs->Data());
+}
+
 bool areVectorsAligned(const wire::PermitRequest &request)
 {
     const auto *asks = request.asks();
     return asks == nullptr || std::all_of(asks->begin(), asks->end(), [](const auto *ask) {
-               const auto *targets = ask->targets();
-               return targets == nullptr || targets->size() == 0 || isAligned(targets->Data());
+               return areStructsAligned(ask->targets());
            });
 }
 
@@ -51,6 +57,10 @@
         return areVectorsAligned(*frame.body_as_PermitRequest());
     case wire::Body::PermitReply:
         return areVectorsAligned(*frame.body_as_PermitReply());
+    case wire::Body::LoanRequest:
+        return areStructsAligned(frame.body_as_LoanRequest()->targets());
+    case wire::Body::LoanReply:
+        return areStructsAligned(frame.body_as_LoanReply()->loans());
     default:
         return true;
     }
--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -179,7 +179,7 @@
 void Server::startJob(Job job)
 {
     ++runCounts[job.requestId];
-    recordEvent("ran", job.requestId);
+    recordEvent("ran", job.requestId, mode.starts_with(LimitMode) ? mode : "");
     const milliseconds delay(mode.starts_with(LateMode) ? std::stoi(mode.substr(LateMode.size()))
                                                         : 0);
     if (m_options.serviceTime.count() == 0 && delay.count() == 0) {
--- a/test/soak/evidence.h
+++ b/test/soak/evidence.h
@@ -73,7 +73,8 @@
     std::string service;
     std::string request;
     /// For an arrival, method, path and body of the request; for a refusal, its status and, if it
-    /// asks for a pause, `pause_ms=` and the length of that.
+    /// asks for a pause, `pause_ms=` and the length of that; for a run, `limit=` and the limit that
+    /// the response names, if any.
     std::string what;
 };
 
--- a/test/soak/plan.cpp
+++ b/test/soak/plan.cpp
@@ -30,6 +30,7 @@
 constexpr milliseconds AddressReuseDelay{2000};
 constexpr double PeakLoadFactor = 5.0;
 constexpr std::uint64_t SelfReportSeed = 0x5e1f;
+constexpr std::uint64_t LimitSeed = 0x11a17;
 
 /// Draws random faults and turns them into steps. A VM, a group of targets or the store has at most
 /// one fault at a time, but any number of them can have one.
@@ -75,6 +76,7 @@
             (this->*planFault)(at);
         }
         planSelfReports();
+        planLimits();
         std::stable_sort(m_plan.steps.begin(), m_plan.steps.end(),
                          [](const Step &a, const Step &b) { return a.at < b.at; });
         return std::move(m_plan);
@@ -356,6 +358,32 @@
         }
     }
 
+    /// Plans targets that name limits, long enough for the bound on what they get to apply. They
+    /// are planned last, as they take long.
+    void planLimits()
+    {
+        std::mt19937_64 random(m_random() ^ LimitSeed);
+        const auto draw = [&random](std::size_t lowest, std::size_t highest) {
+            return static_cast<int>(lowest + random() % (highest - lowest + 1));
+        };
+        for (milliseconds at = FirstFault; at < m_length; at += milliseconds(draw(500, 3000))) {
+            const auto group = static_cast<std::size_t>(draw(0, TargetGroups - 1));
+            const int target = draw(0, static_cast<std::size_t>(targetsPerGroup()) - 1);
+            const milliseconds end = at + milliseconds(draw(8500, 14000));
+            const auto overlaps = [&](const std::pair<milliseconds, milliseconds> &fault) {
+                return fault.first <= end && at <= fault.second;
+            };
+            if (end > m_length
+                || std::any_of(m_groupFaults[group].begin(), m_groupFaults[group].end(), overlaps))
+                continue;
+            m_groupFaults[group].emplace_back(at, end);
+            const std::string mode = "limit=" + std::to_string(draw(0, 8));
+            const std::size_t id = addFault("target set to mode " + mode, {});
+            addStep(id, at, SetTargetMode{static_cast<int>(group), target, mode});
+            addStep(id, end, SetTargetMode{static_cast<int>(group), target, "ok"});
+        }
+    }
+
     void publish(milliseconds at)
     {
         if (!tryReserve(m_storeBusyUntil, at, at + milliseconds(1)))
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <map>
+#include <optional>
+#include <set>
 
 #include "fakeservers/records.h"
 #include "mangoshift/recordmerge.h"
@@ -362,6 +365,90 @@
     }
 }
 
+/// Returns the limit that the response to a run names, in requests a second; no value if it names
+/// none.
+std::optional<double> limitOf(const TargetEvent &event)
+{
+    static const std::string prefix = "limit=";
+    if (event.kind != Kind::Ran || !event.what.starts_with(prefix))
+        return std::nullopt;
+    return std::strtod(event.what.c_str() + prefix.size(), nullptr);
+}
+
+/// A time in which a target names a limit in each of its responses.
+struct LimitedTime
+{
+    double limit = 0.0;
+    Clock::time_point from;
+    Clock::time_point to;
+    /// When each VM got the first response that names it.
+    std::map<int, Clock::time_point> toldAt;
+    /// When requests arrived, and from which VM.
+    std::vector<std::pair<Clock::time_point, const CallerRecord *>> arrivals;
+};
+
+std::vector<LimitedTime> limitedTimesOf(const std::string &target, const EvidenceIndex &index)
+{
+    std::vector<LimitedTime> times;
+    bool isLimited = false;
+    for (const TargetEvent &event : index.evidence().targetEvents) {
+        if (event.target != target)
+            continue;
+        const CallerRecord *record = index.findCaller(event.request);
+        if (event.kind == Kind::Ran) {
+            const auto limit = limitOf(event);
+            if (limit && !(isLimited && times.back().limit == *limit))
+                times.push_back({*limit, event.at, event.at, {}, {}});
+            isLimited = limit.has_value();
+            if (isLimited && record != nullptr)
+                times.back().toldAt.try_emplace(record->vm, event.at);
+        }
+        if (!isLimited || times.empty())
+            continue;
+        times.back().to = event.at;
+        if (event.kind == Kind::Arrived && record != nullptr)
+            times.back().arrivals.emplace_back(event.at, record);
+    }
+    return times;
+}
+
+/// Checks that a target that has named a limit gets no more than that allows, from the VMs that it
+/// has told and that nothing disturbed.
+void checkLimits(const EvidenceIndex &index, Violations &violations)
+{
+    constexpr milliseconds window{4000};
+    constexpr milliseconds hearingTime{500};
+    std::set<std::string> targets;
+    for (const TargetEvent &event : index.evidence().targetEvents)
+        if (limitOf(event))
+            targets.insert(event.target);
+    for (const std::string &target : targets)
+        for (const LimitedTime &time : limitedTimesOf(target, index)) {
+            const double allowed =
+                1.5 * time.limit * std::chrono::duration<double>(window).count() + 5.0;
+            const Clock::time_point judgedFrom = time.from + index.evidence().bounds.stableWindow;
+            for (const auto &[from, first] : time.arrivals) {
+                if (from < judgedFrom || !index.isTargetUndisturbed(target, from, from + window))
+                    continue;
+                std::size_t arrivals = 0;
+                for (const auto &[at, record] : time.arrivals) {
+                    const auto toldAt = time.toldAt.find(record->vm);
+                    if (at >= from && at < from + window && toldAt != time.toldAt.end()
+                        && at >= toldAt->second + hearingTime
+                        && index.isVmUndisturbed(*record, from, from + window))
+                        ++arrivals;
+                }
+                if (static_cast<double>(arrivals) <= allowed)
+                    continue;
+                violations.push_back({"a target gets no more than the limit that it names",
+                                      std::to_string(arrivals) + " requests reached " + target
+                                          + " in 4 s at a limit of " + std::to_string(time.limit)
+                                          + ", the first: " + describe(*first)});
+                break;
+            }
+        }
+}
+
 /// Traffic of one service in ascending order: when callers sent the requests that arrived there,
 /// and the arrivals of each request after its first one.
 struct ServiceTraffic
@@ -527,6 +614,7 @@
     checkConfigApplied(index, handled, violations);
     checkDepartures(index, violations);
     checkPauses(index, violations);
+    checkLimits(index, violations);
     checkTimeouts(index, violations);
     checkAbandonedRequests(index, violations);
     return violations;
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -186,6 +187,64 @@
         CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 7s) == 0);
         CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 8s) == 1);
     }
+    SECTION("lends another domain what its own has no use for")
+    {
+        LimitPool other(2);
+        pool.setIsOwner(true, Start);
+        other.setIsOwner(true, Start);
+        const auto ask = askFor({limitOf(1, 10.0)});
+        CHECK(pool.wantedLoans(Ready).empty());
+        CHECK(countGranted(pool, ask, 2, Ready) == 0);
+        const auto wanted = pool.wantedLoans(Ready);
+        REQUIRE(wanted.size() == 1);
+        const auto loans = other.lend(wanted, Ready + 10ms);
+        CHECK(loans == std::vector<LimitLoan>{{1, 3.5}});
+        pool.onLoan(loans.front(), Ready, Ready + 20ms);
+
+        SECTION("which the other uses")
+        {
+            // 5 a second of its own and 3.5 from the loan.
+            CHECK(countGranted(pool, ask, 50, Ready + 420ms) == 3);
+        }
+        SECTION("and which the lender goes without")
+        {
+            // 1.5 a second are left.
+            CHECK(other.grant(ask, Ready + 610ms).opensIn == 67ms);
+            CHECK(other.grant(ask, Ready + 680ms).isGranted);
+        }
+        SECTION("until it ends, by the clock of the one that uses it since its request")
+        {
+            CHECK(countGranted(pool, ask, 50, Ready + LimitPool::LoanTime - 1ms) == 7);
+            pool.grant(ask, Ready + 10s);
+            CHECK(countGranted(pool, ask, 50, Ready + 10s + 1000ms) == 5);
+        }
+        SECTION("but not twice")
+        {
+            const auto more = other.lend(wanted, Ready + 20ms);
+            REQUIRE(more.size() == 1);
+            CHECK(more.front().rate == Approx(1.05));
+        }
+        SECTION("but not a loan that arrives when it has ended")
+        {
+            LimitPool late(2);
+            late.setIsOwner(true, Start);
+            late.grant(ask, Ready);
+            late.onLoan(loans.front(), Ready, Ready + LimitPool::LoanTime);
+            CHECK(late.grant(ask, Ready + LimitPool::LoanTime).permits.size() == 1);
+            CHECK(countGranted(late, ask, 50, Ready + 5s) == 5);
+        }
+    }
+    SECTION("lends nothing while its own requests find no room")
+    {
+        LimitPool other(2);
+        pool.setIsOwner(true, Start);
+        other.setIsOwner(true, Start);
+        const auto ask = askFor({limitOf(1, 10.0)});
+        countGranted(pool, ask, 2, Ready);
+        countGranted(other, ask, 2, Ready);
+        CHECK(other.lend(pool.wantedLoans(Ready), Ready).empty());
+        CHECK(LimitPool::LoanTime <= LimitPool::HandoverTime);
+    }
     SECTION("forgets targets that no one asks for")
     {
         pool.setIsOwner(true, Start);
@@ -224,9 +283,44 @@
         Arrivals arrivals;
         Clock::time_point now = Ready;
         const auto gap = std::chrono::microseconds(static_cast<int>(1e6 / wanted));
+        // Most callers reach a part of the domains only, so that these borrow.
+        const std::size_t busyVms = 1 + below(vms.size());
+        Clock::time_point borrowAt = Ready;
+        std::multimap<Clock::time_point, std::function<void(Clock::time_point)>> messages;
+        const auto borrow = [&](Clock::time_point at) {
+            for (std::size_t from = 0; from < domains; ++from)
+                for (std::size_t to = 0; to < domains; ++to) {
+                    const auto request = pools[from].wantedLoans(at);
+                    if (from == to || request.empty() || below(10) == 0)
+                        continue;
+                    const auto delay = std::chrono::milliseconds(below(4) == 0 ? below(900) : 2);
+                    const auto replyDelay =
+                        std::chrono::milliseconds(below(4) == 0 ? below(900) : 2);
+                    const bool isLost = below(10) == 0;
+                    messages.emplace(
+                        at + delay, [=, &pools, &messages](Clock::time_point received) {
+                            const auto loans = pools[to].lend(request, received);
+                            if (isLost)
+                                return;
+                            messages.emplace(received + replyDelay,
+                                             [=, &pools](Clock::time_point replied) {
+                                                 for (const LimitLoan &loan : loans)
+                                                     pools[from].onLoan(loan, at, replied);
+                                             });
+                        });
+                }
+        };
         while (now < Ready + 24s) {
             now += gap * (50 + below(100)) / 100;
-            const std::size_t vm = below(vms.size());
+            while (!messages.empty() && messages.begin()->first <= now) {
+                const auto message = messages.extract(messages.begin());
+                message.mapped()(message.key());
+            }
+            if (now >= borrowAt) {
+                borrowAt = now + 250ms;
+                borrow(now);
+            }
+            const std::size_t vm = below(8) == 0 ? below(vms.size()) : below(busyVms);
             TargetLimit &known = vms[vm];
             if (!known.isLimited()) {
                 // A VM hears of the limit in its first response; the rule counts it later.
@@ -242,7 +336,7 @@
                                       static_cast<std::uint32_t>(below(3))),
                                now);
                 for (const Permit &permit : outcome.permits)
-                    known.addPermit(now + permit.validIn);
+                    known.addPermit(now + permit.validIn, now);
             }
             // Some permits are used late, or never.
             if (below(4) != 0 && known.onSent(now))
@@ -253,6 +347,32 @@
     }
 }
 
+TEST_CASE("Most of a limit is used although all requests come in at one domain")
+{
+    for (const std::size_t domains : {2U, 3U, 4U, 7U}) {
+        constexpr double Limit = 20.0;
+        std::vector<LimitPool> pools(domains, LimitPool(domains));
+        for (LimitPool &pool : pools)
+            pool.setIsOwner(true, Start);
+        Arrivals arrivals;
+        Clock::time_point borrowAt = Ready;
+        for (Clock::time_point now = Ready; now < Ready + 40s; now += 25ms) {
+            if (pools[0].grant(askFor({limitOf(1, Limit)}), now).isGranted)
+                arrivals.add(now);
+            if (now < borrowAt)
+                continue;
+            borrowAt = now + 250ms;
+            const auto wanted = pools[0].wantedLoans(now);
+            for (std::size_t i = 1; i < domains; ++i)
+                for (const LimitLoan &loan : pools[i].lend(wanted, now))
+                    pools[0].onLoan(loan, now, now);
+        }
+        CAPTURE(domains, arrivals.total());
+        CHECK(static_cast<double>(arrivals.total()) >= 0.8 * Limit * 40.0);
+        CHECK(static_cast<double>(arrivals.mostIn4s()) <= allowedIn4s(Limit));
+    }
+}
+
 TEST_CASE("Most of a limit is used wherever the requests come in")
 {
     for (const std::size_t vmsEach : {2U, 26U}) {
--- a/test/unit/permitwire_test.cpp
+++ b/test/unit/permitwire_test.cpp
@@ -48,6 +48,19 @@
         CHECK(received.sequence == 9);
         CHECK(received.outcomes == reply.outcomes);
     }
+    SECTION("loans are requested and granted as they were sent, rounded down")
+    {
+        const std::vector<HeardLimit> wanted{{11, 16.7, 3ms}, {12, 0.5, 0ms}};
+        const FramePtr request = sentAndReceived(makeFrame(toWire(wanted, 3)));
+        REQUIRE(request->body.AsLoanRequest() != nullptr);
+        CHECK(request->body.AsLoanRequest()->sequence == 3);
+        CHECK(fromWire(*request->body.AsLoanRequest()) == wanted);
+        const FramePtr reply =
+            sentAndReceived(makeFrame(toWire(std::vector<LimitLoan>{{11, 2.0009}}, 4)));
+        REQUIRE(reply->body.AsLoanReply() != nullptr);
+        CHECK(reply->body.AsLoanReply()->sequence == 4);
+        CHECK(fromWire(*reply->body.AsLoanReply()) == std::vector<LimitLoan>{{11, 2.0}});
+    }
     SECTION("sizes of parts that exceed the targets sent yield empty parts")
     {
         wire::PermitRequestT request;
--- a/test/unit/soakviolations_test.cpp
+++ b/test/unit/soakviolations_test.cpp
@@ -124,6 +124,43 @@
         CHECK(builder.violatedInvariants()
               == Invariants{"a request reported as not run has not run"});
     }
+    SECTION("a target gets more than the limit that it names")
+    {
+        // The bound at 2 requests a second is 17 in 4 s.
+        const auto sendMany = [&builder](std::chrono::milliseconds gap, std::size_t count) {
+            for (std::size_t i = 0; i < count; ++i) {
+                const std::string id = "limited-" + std::to_string(i);
+                const Clock::time_point at = Start + gap * i;
+                builder.addRequest(RouteKind::Moving, id, at, {});
+                builder.addEvent(TargetEvent::Kind::Arrived, "i-m", id, at, "GET /x ");
+                builder.addEvent(TargetEvent::Kind::Ran, "i-m", id, at, "limit=2");
+            }
+        };
+        SECTION("in four seconds, when it has named the limit for long enough")
+        {
+            sendMany(200ms, 60);
+            const Invariants found = builder.violatedInvariants();
+            CHECK(std::find(found.begin(), found.end(),
+                            "a target gets no more than the limit that it names")
+                  != found.end());
+        }
+        SECTION("before that, which is allowed")
+        {
+            sendMany(200ms, 20);
+            const Invariants found = builder.violatedInvariants();
+            CHECK(std::find(found.begin(), found.end(),
+                            "a target gets no more than the limit that it names")
+                  == found.end());
+        }
+        SECTION("but not in any four seconds")
+        {
+            sendMany(250ms, 60);
+            const Invariants found = builder.violatedInvariants();
+            CHECK(std::find(found.begin(), found.end(),
+                            "a target gets no more than the limit that it names")
+                  == found.end());
+        }
+    }
     SECTION("a fan-out answer does not match its request")
     {
         CallerRecord &record = builder.addRequest(RouteKind::All, "r4", Start, {"i-a", "i-b"});
--- a/test/unit/targetlimit_test.cpp
+++ b/test/unit/targetlimit_test.cpp
@@ -31,23 +31,23 @@
 
     SECTION("each permit is good for one request")
     {
-        limit.addPermit(Start + 30ms);
-        limit.addPermit(Start + 30ms);
+        limit.addPermit(Start + 30ms, Start + 20ms);
+        limit.addPermit(Start + 30ms, Start + 20ms);
         CHECK(limit.onSent(Start + 40ms));
         CHECK(limit.onSent(Start + 40ms));
         CHECK_FALSE(limit.onSent(Start + 40ms));
     }
     SECTION("a permit expires")
     {
-        limit.addPermit(Start + 30ms);
+        limit.addPermit(Start + 30ms, Start + 20ms);
         CHECK(limit.allowsRequest(Start + 30ms + PermitLifetime - 1ms));
         CHECK_FALSE(limit.allowsRequest(Start + 30ms + PermitLifetime));
         CHECK_FALSE(limit.onSent(Start + 30ms + PermitLifetime));
     }
     SECTION("a permit that is valid later is of no use before")
     {
-        limit.addPermit(Start + 200ms);
-        limit.addPermit(Start + 100ms);
+        limit.addPermit(Start + 200ms, Start + 20ms);
+        limit.addPermit(Start + 100ms, Start + 20ms);
         CHECK_FALSE(limit.onSent(Start + 99ms));
         CHECK(limit.nextPermitAt(Start + 50ms) == Start + 100ms);
         CHECK(limit.heldPermits(Start + 50ms) == 2);
@@ -58,7 +58,7 @@
     }
     SECTION("permits for a higher limit are dropped when the limit falls")
     {
-        limit.addPermit(Start + 30ms);
+        limit.addPermit(Start + 30ms, Start + 20ms);
         CHECK(limit.onResponse(2.0, Start + 10ms, Start + 40ms) == Change::Changed);
         CHECK_FALSE(limit.allowsRequest(Start + 40ms));
     }
@@ -80,7 +80,7 @@
         CHECK(limit.allowsRequest(Start + 90ms));
         SECTION("and the permits that were left do not serve the next limit")
         {
-            limit.addPermit(Start + 90ms);
+            limit.addPermit(Start + 90ms, Start + 20ms);
             CHECK(limit.onResponse(5.0, Start + 100ms, Start + 110ms) == Change::Named);
             CHECK_FALSE(limit.allowsRequest(Start + 110ms));
         }
