--- a/src/entry/permitwire.cpp
+++ b/src/entry/permitwire.cpp
@@ -38,15 +38,15 @@
 
 std::unique_ptr<wire::PermitAskT> toWire(const PermitAsk &ask)
 {
-    constexpr std::size_t MaxPartSize = std::numeric_limits<std::uint8_t>::max();
+    constexpr std::size_t maxPartSize = std::numeric_limits<std::uint8_t>::max();
     auto result = std::make_unique<wire::PermitAskT>();
     result->priority =
-        static_cast<std::uint8_t>(std::min<std::uint32_t>(ask.priority, MaxPartSize));
+        static_cast<std::uint8_t>(std::min<std::uint32_t>(ask.priority, maxPartSize));
     result->required = static_cast<std::uint16_t>(ask.required);
     result->needed_parts = static_cast<std::uint16_t>(ask.neededParts);
     result->max_wait_ms = bounded(static_cast<double>(ask.maxWait.count()));
     for (const auto &part : ask.parts) {
-        const std::size_t size = std::min(part.size(), MaxPartSize);
+        const std::size_t size = std::min(part.size(), maxPartSize);
         result->part_sizes.push_back(static_cast<std::uint8_t>(size));
         for (std::size_t i = 0; i < size; ++i)
             result->targets.push_back(toWire(part[i]));
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -350,14 +350,14 @@
 TEST_CASE("Most of a limit is used although all requests come in at one domain")
 {
     for (const std::size_t domains : {2U, 3U, 4U, 7U}) {
-        constexpr double Limit = 20.0;
+        constexpr double limit = 20.0;
         std::vector<LimitPool> pools(domains, LimitPool(domains));
         for (LimitPool &pool : pools)
             pool.setIsOwner(true, Start);
         Arrivals arrivals;
         Clock::time_point borrowAt = Ready;
         for (Clock::time_point now = Ready; now < Ready + 40s; now += 25ms) {
-            if (pools[0].grant(askFor({limitOf(1, Limit)}), now).isGranted)
+            if (pools[0].grant(askFor({limitOf(1, limit)}), now).isGranted)
                 arrivals.add(now);
             if (now < borrowAt)
                 continue;
@@ -368,8 +368,8 @@
                     pools[0].onLoan(loan, now, now);
         }
         CAPTURE(domains, arrivals.total());
-        CHECK(static_cast<double>(arrivals.total()) >= 0.8 * Limit * 40.0);
-        CHECK(static_cast<double>(arrivals.mostIn4s()) <= allowedIn4s(Limit));
+        CHECK(static_cast<double>(arrivals.total()) >= 0.8 * limit * 40.0);
+        CHECK(static_cast<double>(arrivals.mostIn4s()) <= allowedIn4s(limit));
     }
 }
 
@@ -377,19 +377,16 @@
 {
     for (const std::size_t vmsEach : {2U, 26U}) {
         const double limit = vmsEach == 2 ? 16.7 : 3.0;
-        constexpr std::size_t Domains = 3;
-        std::vector<LimitPool> pools(Domains, LimitPool(Domains));
+        constexpr std::size_t domains = 3;
+        std::vector<LimitPool> pools(domains, LimitPool(domains));
         for (LimitPool &pool : pools)
             pool.setIsOwner(true, Start);
-        std::vector<TargetLimit> vms(Domains * vmsEach);
-        for (TargetLimit &known : vms)
-            known.onResponse(limit, Start, Start);
         std::mt19937_64 random(7);
         Arrivals arrivals;
         // Twice as many requests as the limit, at VMs drawn at random.
         const auto gap = std::chrono::microseconds(static_cast<int>(1e6 / limit / 2.0));
         for (Clock::time_point now = Ready; now < Ready + 40s; now += gap) {
-            const std::size_t vm = random() % vms.size();
+            const std::size_t vm = random() % (domains * vmsEach);
             const auto outcome = pools[vm / vmsEach].grant(askFor({limitOf(1, limit)}), now);
             if (outcome.isGranted)
                 arrivals.add(now);
--- a/test/unit/permitrequests_test.cpp
+++ b/test/unit/permitrequests_test.cpp
@@ -12,7 +12,7 @@
 {
     asio::io_context io;
     std::vector<PermitRequest> sent;
-    PermitRequests requests(io, [&sent](PermitRequest request) { sent.push_back(request); });
+    PermitRequests requests(io, [&sent](const PermitRequest &request) { sent.push_back(request); });
     std::vector<PermitOutcome> outcomes;
     const auto record = [&outcomes](const PermitOutcome &outcome) { outcomes.push_back(outcome); };
     const Clock::time_point now{1000s};
