Let a new pool owner lend of the part that it grants only

Found by reading: the share that a new owner grants in its first seconds was updated when it granted permits, not when it lent. An owner that had granted nothing yet lent of its domain's whole part, while some VMs may still get permits from the owner before it.

Change: every use of the pool updates the share first.

--- a/include/mangoshift/limitpool.h
+++ b/include/mangoshift/limitpool.h
@@ -151,6 +151,8 @@
         Clock::time_point updatedAt{};
     };
 
+    /// Returns whether this VM may grant and lend, and updates the share of the part that it may.
+    bool mayGrant(Clock::time_point now);
     Account &account(const HeardLimit &heard, Clock::time_point now);
     /// The domain's own part of the limit, in requests a second.
     double ownRate(const Account &account) const;
--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -57,6 +57,12 @@
     m_isOwner = isOwner;
 }
 
+bool LimitPool::mayGrant(Clock::time_point now)
+{
+    m_rateShare = now < m_grantsStartAt + NewOwnerTime ? NewOwnerShare : 1.0;
+    return m_isOwner && now >= m_grantsStartAt;
+}
+
 double LimitPool::ownRate(const Account &account) const
 {
     return std::max(account.limit.value_or(0.0), MinLimit) / static_cast<double>(m_failureDomains)
@@ -167,9 +173,8 @@
 
 PermitOutcome LimitPool::grant(const PermitAsk &ask, Clock::time_point now)
 {
-    if (!m_isOwner || now < m_grantsStartAt)
+    if (!mayGrant(now))
         return {ask.required == 0, {}, std::nullopt};
-    m_rateShare = now < m_grantsStartAt + NewOwnerTime ? NewOwnerShare : 1.0;
     forgetUnused(now);
     PermitOutcome outcome;
     std::vector<const std::vector<HeardLimit> *> deniedParts;
@@ -220,7 +225,7 @@
 std::vector<HeardLimit> LimitPool::wantedLoans(Clock::time_point now)
 {
     std::vector<HeardLimit> wanted;
-    if (!m_isOwner || now < m_grantsStartAt)
+    if (!mayGrant(now))
         return wanted;
     for (auto &[target, account] : m_accounts) {
         accrue(account, now);
@@ -234,7 +239,7 @@
 std::vector<LimitLoan> LimitPool::lend(const std::vector<HeardLimit> &wanted, Clock::time_point now)
 {
     std::vector<LimitLoan> loans;
-    if (!m_isOwner || now < m_grantsStartAt)
+    if (!mayGrant(now))
         return loans;
     forgetUnused(now);
     for (const HeardLimit &heard : wanted) {
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -234,6 +234,17 @@
             CHECK(countGranted(late, ask, 50, Ready + 5s) == 5);
         }
     }
+    SECTION("lends of the half only that a new owner grants")
+    {
+        LimitPool other(2);
+        pool.setIsOwner(true, Start);
+        other.setIsOwner(true, Ready);
+        const auto ask = askFor({limitOf(1, 10.0)});
+        countGranted(pool, ask, 2, Ready);
+        const Clock::time_point now = Ready + LimitPool::HandoverTime;
+        CHECK(other.lend({limitOf(1, 10.0)}, now) == std::vector<LimitLoan>{{1, 1.75}});
+        CHECK(other.lend({limitOf(1, 10.0)}, now - 1ms).empty());
+    }
     SECTION("lends nothing while its own requests find no room")
     {
         LimitPool other(2);
