State in logs and metrics how callers' connections end

For LOST the log wrote caller_left for a caller that closed, for a connection that was reset and for one whose host went silent, and nothing for bytes that arrive while the VM closes a connection or for a response that is not written to its end.

Each connection now ends with a cause and a phase: counted in mangoshift_caller_connections_ended_total{cause,phase}, named in the trace of a request (caller_left:ROUTE:CAUSE, which explain puts into words), and logged as caller_connection_ended where a response or bytes of the caller are lost.

No decision is changed. unittests "A listener reports how*" covers the causes.

--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -63,6 +63,12 @@
     {"failing", "each target that is left fails and is being probed by another request"},
     {"limited", "each target that is left has named a limit that leaves no room for it in time"}};
 
+const std::map<std::string, std::string> ConnectionEndTexts{
+    {"caller_closed", "the caller closed it, or its sending side"},
+    {"caller_reset", "it was reset"},
+    {"caller_silent", "the caller's host has stopped to acknowledge what it is sent"},
+    {"stop", "the VM stopped"}};
+
 const std::map<std::string, std::string> ExecutionTexts{
     {"not_run", "It has not run anywhere."},
     {"may_have_run", "It may have run; the logs of the targets named here show whether it did."},
@@ -136,6 +142,9 @@
         return prefix
             + "refused at once: this VM is cut off from the other failure domains and from "
               "too many targets";
+    if (decision.action == "caller_left")
+        return prefix
+            + "the caller's connection ended: " + textOrKey(ConnectionEndTexts, decision.reason);
     if (decision.action == "no_budget")
         return prefix + "not sent again to " + decision.service + ": the retry budget is spent";
     return prefix + decision.action + " " + decision.service + " " + decision.reason;
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -56,6 +56,8 @@
                        .Name("mangoshift_entry_request_duration_seconds")
                        .Help("Time from receipt to answer")
                        .Register(*m_registry))
+    , callerConnectionsEnded(counters(*m_registry, "mangoshift_caller_connections_ended_total",
+                                      "Ended connections of callers, by cause and phase"))
     , entrySends(counters(*m_registry, "mangoshift_entry_sends_total",
                           "Requests given to targets, and extra ones denied"))
     , targetNotices(counters(*m_registry, "mangoshift_target_notices_total",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -59,6 +59,8 @@
     prometheus::Family<prometheus::Counter> &entryRequests;
     /// Time from receiving a request to answering it at this entry VM, by `route`, in seconds.
     prometheus::Family<prometheus::Histogram> &entrySeconds;
+    /// Connections of callers that have ended, by `cause` and `phase`; see `ConnectionEnd`.
+    prometheus::Family<prometheus::Counter> &callerConnectionsEnded;
     /// Requests that this entry VM sent to targets, by `cause` (`first`, `hedge`, `retry`);
     /// `denied` counts extra requests that were not sent because the budget was exhausted.
     prometheus::Family<prometheus::Counter> &entrySends;
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -210,26 +210,44 @@
     events.onRequest = [this](const CallerConnectionPtr &connection, HttpRequest http) {
         onRequest(connection, std::move(http));
     };
-    events.onCallerDisconnected = [this](const CallerConnectionPtr &connection) {
+    events.onCallerDisconnected = [this](const CallerConnectionPtr &connection,
+                                         ConnectionEnd::Cause cause) {
         const auto it = m_exchanges.find(connection);
         if (it == m_exchanges.end())
             return;
         const std::shared_ptr<RequestExchange> exchange = it->second;
-        exchange->onCallerDisconnected();
+        exchange->onCallerDisconnected(cause);
     };
+    events.onEnded = [this](const ConnectionEnd &end) { onConnectionEnded(end); };
     events.onRejected = [](int status) {
         logEvent(LogLevel::Info, "request_rejected", {{"status", std::to_string(status)}});
     };
     return events;
 }
 
+void EntryDuty::onConnectionEnded(const ConnectionEnd &end)
+{
+    m_state.metrics.callerConnectionsEnded
+        .Add({{"cause", std::string(toString(end.cause))},
+              {"phase", std::string(toString(end.phase))}})
+        .Increment();
+    // A request that is being processed is reported by its exchange.
+    if (end.phase != ConnectionEnd::Phase::Answering && end.unusedBytes == 0)
+        return;
+    logEvent(LogLevel::Info, "caller_connection_ended",
+             {{"cause", std::string(toString(end.cause))},
+              {"phase", std::string(toString(end.phase))},
+              {"unused_bytes", std::to_string(end.unusedBytes)},
+              {"config_version", std::to_string(m_routing ? m_routing->version() : 0)}});
+}
+
 CallerEvents EntryDuty::readyEvents()
 {
     CallerEvents events;
     events.onRequest = [this](const CallerConnectionPtr &connection, const HttpRequest &http) {
         onReadyRequest(connection, http);
     };
-    events.onCallerDisconnected = [](const CallerConnectionPtr &) {};
+    events.onCallerDisconnected = [](const CallerConnectionPtr &, ConnectionEnd::Cause) {};
     events.onRejected = [](int) {};
     return events;
 }
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -112,6 +112,7 @@
     CallerEvents callerEvents();
     CallerEvents readyEvents();
     void onRequest(const CallerConnectionPtr &connection, HttpRequest http);
+    void onConnectionEnded(const ConnectionEnd &end);
     void onReadyRequest(const CallerConnectionPtr &connection, const HttpRequest &http);
     /// Returns whether a leaving VM may take a request.
     bool canFinishBeforeLeaving(const IncomingRequest &request);
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -30,7 +30,7 @@
     void start();
     /// Handles the disconnection of the caller: nothing more is sent, and the calls in flight are
     /// cancelled after a grace period.
-    void onCallerDisconnected();
+    void onCallerDisconnected(ConnectionEnd::Cause cause);
     /// Sends the final response now, without the parts that are missing.
     void finishNow(Reason reason);
 
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -112,10 +112,11 @@
     finish(DisconnectGracePeriod);
 }
 
-void RequestExchange::onCallerDisconnected()
+void RequestExchange::onCallerDisconnected(ConnectionEnd::Cause cause)
 {
     if (m_isFinished)
         return;
+    addToTrace("caller_left", m_request.route->name, {}, toString(cause).data());
     recordOutcome(0, "caller_left", {Execution::MayHaveRun, Reason::Cancelled});
     finish(DisconnectGracePeriod);
 }
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -1,6 +1,7 @@
 #include "http/callerconnection.h"
 
 #include <array>
+#include <cstddef>
 #include <utility>
 
 #include <asio/buffer.hpp>
@@ -44,8 +45,32 @@
     return fault == HttpFault::BodyTooLarge ? httpstatus::ContentTooLarge : httpstatus::BadRequest;
 }
 
+/// Returns why a connection ends on which reading or writing failed.
+ConnectionEnd::Cause causeOf(const asio::error_code &error)
+{
+    if (error == asio::error::eof)
+        return ConnectionEnd::Cause::CallerClosed;
+    return error == asio::error::timed_out ? ConnectionEnd::Cause::CallerSilent
+                                           : ConnectionEnd::Cause::CallerReset;
+}
+
 } // namespace
 
+std::string_view toString(ConnectionEnd::Cause cause)
+{
+    static constexpr std::array<std::string_view, 7> names{
+        "caller_closed", "caller_reset", "caller_silent", "answer_not_read",
+        "idle",          "last_answer",  "stop"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
+std::string_view toString(ConnectionEnd::Phase phase)
+{
+    static constexpr std::array<std::string_view, 5> names{"idle", "receiving", "working",
+                                                           "answering", "closing"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
 CallerConnection::CallerConnection(tcp::socket socket, const CallerEvents &events,
                                    const CallerLimits &limits)
     : m_socket(std::move(socket))
@@ -71,7 +96,7 @@
                             if (self->m_state == State::Closed)
                                 return;
                             if (error)
-                                self->close();
+                                self->close(causeOf(error));
                             else
                                 self->readSocket();
                         });
@@ -83,12 +108,14 @@
     asio::error_code error;
     const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
     if (error && error != asio::error::would_block) {
-        close();
+        close(m_state == State::Lingering ? m_lingerCause : causeOf(error));
         return;
     }
     if (m_state == State::Reading && m_unparsed.empty() && !m_parser.hasBegun() && size > 0)
         m_stateSince = Clock::now();
-    if (m_state != State::Lingering)
+    if (m_state == State::Lingering)
+        m_discardedBytes += size;
+    else
         m_unparsed.append(buffer.data(), size);
     if (m_state == State::Reading)
         parseBytes();
@@ -154,7 +181,7 @@
     asio::error_code error;
     const std::size_t written = m_socket.write_some(asio::buffer(m_unwritten), error);
     if (error && error != asio::error::would_block) {
-        close();
+        close(causeOf(error));
         return;
     }
     m_unwritten.erase(0, written);
@@ -168,7 +195,7 @@
                               return;
                           self->m_unwritten.clear();
                           if (failure)
-                              self->close();
+                              self->close(causeOf(failure));
                           else
                               self->onWritten();
                       });
@@ -177,7 +204,7 @@
 void CallerConnection::onWritten()
 {
     if (!m_isKeepAlive) {
-        linger();
+        linger(ConnectionEnd::Cause::LastAnswer);
         return;
     }
     m_state = State::Reading;
@@ -192,10 +219,12 @@
     });
 }
 
-void CallerConnection::linger()
+void CallerConnection::linger(ConnectionEnd::Cause cause)
 {
     m_state = State::Lingering;
     m_stateSince = Clock::now();
+    m_lingerCause = cause;
+    m_discardedBytes = m_unparsed.size();
     m_unparsed.clear();
     asio::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -206,7 +235,7 @@
 {
     if (m_state != State::Reading || m_parser.hasBegun() || !m_unparsed.empty())
         return m_state == State::Lingering || m_state == State::Closed;
-    linger();
+    linger(ConnectionEnd::Cause::Stop);
     return true;
 }
 
@@ -217,27 +246,47 @@
     const bool isOverdue = (m_state == State::Lingering && age >= LingerTime)
         || (m_state == State::Writing && age >= WriteTimeout);
     if (isOverdue) {
-        close();
+        close(m_state == State::Writing ? ConnectionEnd::Cause::AnswerNotRead : m_lingerCause);
     } else if (m_state == State::Reading) {
         if (!m_parser.hasBegun()) {
             if (age >= limits.idleTimeout + IdleMargin)
-                linger();
+                linger(ConnectionEnd::Cause::Idle);
         } else if (age >= (m_parser.hasHeaders() ? BodyTimeout : limits.headerTimeout)) {
             reject(httpstatus::RequestTimeout);
         }
     }
 }
 
-void CallerConnection::close()
+ConnectionEnd::Phase CallerConnection::phase() const
+{
+    switch (m_state) {
+    case State::Working:
+        return ConnectionEnd::Phase::Working;
+    case State::Writing:
+        return ConnectionEnd::Phase::Answering;
+    case State::Lingering:
+    case State::Closed:
+        return ConnectionEnd::Phase::Closing;
+    case State::Reading:
+        break;
+    }
+    return m_parser.hasBegun() || !m_unparsed.empty() ? ConnectionEnd::Phase::Receiving
+                                                      : ConnectionEnd::Phase::Idle;
+}
+
+void CallerConnection::close(ConnectionEnd::Cause cause)
 {
-    const State previousState = std::exchange(m_state, State::Closed);
-    if (previousState == State::Closed)
+    if (m_state == State::Closed)
         return;
+    const ConnectionEnd end{cause, phase(), m_discardedBytes + m_unparsed.size()};
+    m_state = State::Closed;
     asio::error_code ignored;
     m_socket.close(ignored);
     const CallerConnectionPtr self = shared_from_this();
-    if (previousState == State::Working)
-        m_events.onCallerDisconnected(self);
+    if (end.phase == ConnectionEnd::Phase::Working)
+        m_events.onCallerDisconnected(self, cause);
+    if (m_events.onEnded)
+        m_events.onEnded(end);
     m_events.onClosed(self);
 }
 
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <asio/ip/tcp.hpp>
 
@@ -18,6 +19,36 @@
 class CallerConnection;
 using CallerConnectionPtr = std::shared_ptr<CallerConnection>;
 
+/// How a caller's connection ended.
+struct ConnectionEnd
+{
+    enum class Cause : std::uint8_t {
+        CallerClosed, ///< The caller closed the connection, or its sending side.
+        CallerReset, ///< Reading or writing failed.
+        CallerSilent, ///< The caller's host has stopped to acknowledge what it is sent.
+        AnswerNotRead, ///< The caller did not read its response in time.
+        Idle, ///< No request has arrived for the idle limit.
+        LastAnswer, ///< The response was the last one of the connection.
+        Stop, ///< The VM stops.
+    };
+    /// What the connection was doing.
+    enum class Phase : std::uint8_t {
+        Idle,
+        Receiving, ///< A part of a request has arrived.
+        Working, ///< A request is being processed.
+        Answering, ///< A response is being written.
+        Closing, ///< The VM has closed its sending side.
+    };
+
+    Cause cause;
+    Phase phase;
+    /// The number of bytes that were received and not parsed.
+    std::size_t unusedBytes = 0;
+};
+
+std::string_view toString(ConnectionEnd::Cause cause);
+std::string_view toString(ConnectionEnd::Phase phase);
+
 /// The callbacks of a listener's connections, all called on the listener's thread. `CallerListener`
 /// sets `onClosed` itself.
 struct CallerEvents
@@ -26,7 +57,9 @@
     /// from within `respond`.
     std::function<void(const CallerConnectionPtr &, HttpRequest)> onRequest;
     /// The caller disconnected before its request was answered.
-    std::function<void(const CallerConnectionPtr &)> onCallerDisconnected;
+    std::function<void(const CallerConnectionPtr &, ConnectionEnd::Cause)> onCallerDisconnected;
+    /// The connection ended for this reason; called before `onClosed`. May be empty.
+    std::function<void(const ConnectionEnd &)> onEnded;
     /// The connection was closed; called once.
     std::function<void(const CallerConnectionPtr &)> onClosed;
     /// An invalid or overdue request was rejected with this status.
@@ -56,7 +89,7 @@
     /// Enforces the timeouts: rejects a request whose headers or body are overdue, and closes the
     /// connection if the caller does not read its response or if the connection is idle too long.
     void sweep(Clock::time_point now, const CallerLimits &limits);
-    void close();
+    void close(ConnectionEnd::Cause cause);
 
 private:
     enum class State : std::uint8_t { Reading, Working, Writing, Lingering, Closed };
@@ -68,12 +101,18 @@
     void reject(int status);
     void write(const std::string &bytes);
     void onWritten();
-    void linger();
+    /// Closes the sending side, and the connection once the caller has closed it too.
+    void linger(ConnectionEnd::Cause cause);
+    ConnectionEnd::Phase phase() const;
 
     asio::ip::tcp::socket m_socket;
     const CallerEvents &m_events;
     HttpParser m_parser;
     State m_state = State::Reading;
+    /// Why the sending side was closed, in `Lingering`.
+    ConnectionEnd::Cause m_lingerCause = ConnectionEnd::Cause::LastAnswer;
+    /// The number of bytes received in `Lingering`, or not parsed when it began.
+    std::size_t m_discardedBytes = 0;
     /// Received bytes that are not parsed yet, such as those after the current request.
     std::string m_unparsed;
     std::string m_unwritten;
--- a/src/http/callerlistener.cpp
+++ b/src/http/callerlistener.cpp
@@ -32,7 +32,7 @@
 {
     const std::vector<CallerConnectionPtr> all(m_connections.begin(), m_connections.end());
     for (const CallerConnectionPtr &connection : all)
-        connection->close();
+        connection->close(ConnectionEnd::Cause::Stop);
 }
 
 bool CallerListener::listen(const Address &address)
--- a/standins/fakeservers.cpp
+++ b/standins/fakeservers.cpp
@@ -154,7 +154,7 @@
                     applyControl(*server, request.target.substr(0, queryStart), request.body);
         connection->respond(std::move(response));
     };
-    events.onCallerDisconnected = [](const CallerConnectionPtr &) {};
+    events.onCallerDisconnected = [](const CallerConnectionPtr &, ConnectionEnd::Cause) {};
     events.onRejected = [](int) {};
     return events;
 }
--- a/standins/fakestore.cpp
+++ b/standins/fakestore.cpp
@@ -97,7 +97,8 @@
                                            const HttpRequest &request) {
             (this->*handler)(connection, request);
         };
-        events.onCallerDisconnected = [this](const CallerConnectionPtr &connection) {
+        events.onCallerDisconnected = [this](const CallerConnectionPtr &connection,
+                                             ConnectionEnd::Cause) {
             m_watches.remove_if(
                 [&connection](const Watch &watch) { return watch.connection == connection; });
         };
@@ -225,7 +226,7 @@
         std::list<Watch> closedWatches;
         closedWatches.swap(m_watches);
         for (const Watch &watch : closedWatches)
-            watch.connection->close();
+            watch.connection->close(ConnectionEnd::Cause::Stop);
     }
 
     asio::io_context &m_io;
--- a/test/unit/callerlistener_test.cpp
+++ b/test/unit/callerlistener_test.cpp
@@ -59,11 +59,22 @@
         return run([this] { return m_isClosed; });
     }
     void disconnect() { m_caller.close(); }
+    /// Closes the connection with a TCP reset.
+    void reset()
+    {
+        m_caller.set_option(asio::socket_base::linger(true, 0));
+        m_caller.close();
+    }
+    bool runUntilEnded()
+    {
+        return run([this] { return !m_ends.empty(); });
+    }
 
     CallerListener &listener() { return m_listener; }
     const std::vector<HttpRequest> &requests() const { return m_requests; }
     const std::string &received() const { return m_received; }
     std::size_t disconnections() const { return m_disconnections; }
+    const std::vector<ConnectionEnd> &ends() const { return m_ends; }
 
 private:
     CallerEvents events()
@@ -73,7 +84,10 @@
             m_connections.push_back(connection);
             m_requests.push_back(std::move(request));
         };
-        events.onCallerDisconnected = [this](const CallerConnectionPtr &) { ++m_disconnections; };
+        events.onCallerDisconnected = [this](const CallerConnectionPtr &, ConnectionEnd::Cause) {
+            ++m_disconnections;
+        };
+        events.onEnded = [this](const ConnectionEnd &end) { m_ends.push_back(end); };
         events.onRejected = [](int) {};
         return events;
     }
@@ -93,6 +107,7 @@
     std::vector<CallerConnectionPtr> m_connections;
     std::vector<HttpRequest> m_requests;
     std::size_t m_disconnections = 0;
+    std::vector<ConnectionEnd> m_ends;
     CallerListener m_listener;
     asio::ip::tcp::socket m_caller;
     std::array<char, 4096> m_buffer{};
@@ -152,6 +167,42 @@
     }
 }
 
+TEST_CASE("A listener reports how a connection ended")
+{
+    using Cause = ConnectionEnd::Cause;
+    using Phase = ConnectionEnd::Phase;
+    ListenerFixture fixture;
+    fixture.sendRequest("/one");
+    REQUIRE(fixture.runUntilRequests(1));
+
+    SECTION("when the caller closed it before the response")
+    {
+        fixture.disconnect();
+        REQUIRE(fixture.runUntilEnded());
+        CHECK(fixture.ends().front().cause == Cause::CallerClosed);
+        CHECK(fixture.ends().front().phase == Phase::Working);
+    }
+    SECTION("when it was reset before the response")
+    {
+        fixture.reset();
+        REQUIRE(fixture.runUntilEnded());
+        CHECK(fixture.ends().front().cause == Cause::CallerReset);
+        CHECK(fixture.ends().front().phase == Phase::Working);
+    }
+    SECTION("when the response was its last one, with what the caller has sent since")
+    {
+        fixture.listener().closeAfterResponses();
+        fixture.respond("last");
+        fixture.send("late");
+        REQUIRE(fixture.waitUntilClosed());
+        fixture.disconnect();
+        REQUIRE(fixture.runUntilEnded());
+        CHECK(fixture.ends().front().cause == Cause::LastAnswer);
+        CHECK(fixture.ends().front().phase == Phase::Closing);
+        CHECK(fixture.ends().front().unusedBytes == 4);
+    }
+}
+
 // Guards against a request that is run and never answered, because its owner still held the
 // previous request of the connection when it arrived.
 TEST_CASE("A pipelined request is passed on only after the call of respond has returned")
