Read what has arrived before a caller's connection counts as overdue

Callers saw a connection end without an answer although it carried a whole request.

Under pressure (a large configuration is applied, a small share of a processor) a whole request lay in the socket while the connection was closed as idle; it was then read and dropped while the connection lingered.
A request whose rest had arrived was rejected as overdue.
- A configuration with a shorter idle limit applied at once to connections that were idle by a longer one, so that callers who count on that one lose the request with which they reuse the connection.
A smaller size limit applied to a request that was arriving.

The decision is now CallerTimeouts in the library, on the paused clock: limits are granted to an idle period or a request, and never shrink within it. The owner reads all that has arrived before it acts.

--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -232,7 +232,7 @@
               {"phase", std::string(toString(end.phase))}})
         .Increment();
     // A request that is being processed is reported by its exchange.
-    if (end.phase != ConnectionEnd::Phase::Answering && end.unusedBytes == 0)
+    if (end.phase != CallerPhase::Answering && end.unusedBytes == 0)
         return;
     logEvent(LogLevel::Info, "caller_connection_ended",
              {{"cause", std::string(toString(end.cause))},
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -21,18 +21,6 @@
 /// If at least this many received bytes are buffered, the socket is not read until the current
 /// request is answered. The last read may exceed this number by up to `ReadBytes`.
 constexpr std::size_t MaxUnparsedBytes = 64U << 10U;
-/// The maximum time from the first byte of a request to the end of its body; applies once its
-/// headers are complete. Callers send at most 256 KiB.
-constexpr std::chrono::seconds BodyTimeout{10};
-/// The maximum time to write a response to a caller that reads slowly.
-constexpr std::chrono::seconds WriteTimeout{10};
-/// How long the socket is still read after the last response: closing a socket with unread data
-/// sends a reset, which could discard the response.
-constexpr std::chrono::seconds LingerTime{1};
-/// Added to the idle timeout that callers know, so that a request does not arrive while the
-/// connection is being closed.
-constexpr std::chrono::seconds IdleMargin{1};
-
 HttpSizeLimits sizeLimits(const CallerLimits &limits)
 {
     return {limits.headerBytes, limits.bodyBytes};
@@ -64,19 +52,12 @@
     return names.at(static_cast<std::size_t>(cause));
 }
 
-std::string_view toString(ConnectionEnd::Phase phase)
-{
-    static constexpr std::array<std::string_view, 5> names{"idle", "receiving", "working",
-                                                           "answering", "closing"};
-    return names.at(static_cast<std::size_t>(phase));
-}
-
 CallerConnection::CallerConnection(tcp::socket socket, const CallerEvents &events,
                                    const CallerLimits &limits)
     : m_socket(std::move(socket))
     , m_events(events)
     , m_parser(HttpParser::Side::Requests, sizeLimits(limits))
-    , m_stateSince(Clock::now())
+    , m_timeouts(limits, Clock::now())
 {
 }
 
@@ -93,7 +74,7 @@
     m_socket.async_wait(tcp::socket::wait_read,
                         [self = shared_from_this()](const asio::error_code &error) {
                             self->m_isWaitingForData = false;
-                            if (self->m_state == State::Closed)
+                            if (self->phase() == CallerPhase::Closed)
                                 return;
                             if (error)
                                 self->close(causeOf(error));
@@ -102,25 +83,37 @@
                         });
 }
 
-void CallerConnection::readSocket()
+bool CallerConnection::readSocket()
 {
     static thread_local std::array<char, ReadBytes> buffer;
     asio::error_code error;
     const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
     if (error && error != asio::error::would_block) {
-        close(m_state == State::Lingering ? m_lingerCause : causeOf(error));
-        return;
+        close(phase() == CallerPhase::Closing ? m_lingerCause : causeOf(error));
+        return false;
     }
-    if (m_state == State::Reading && m_unparsed.empty() && !m_parser.hasBegun() && size > 0)
-        m_stateSince = Clock::now();
-    if (m_state == State::Lingering)
+    if (phase() == CallerPhase::Idle && size > 0)
+        enter(CallerPhase::Receiving);
+    if (phase() == CallerPhase::Closing)
         m_discardedBytes += size;
     else
         m_unparsed.append(buffer.data(), size);
-    if (m_state == State::Reading)
+    if (isReading())
         parseBytes();
-    if (m_state != State::Closed && m_unparsed.size() < MaxUnparsedBytes)
+    if (phase() != CallerPhase::Closed && m_unparsed.size() < MaxUnparsedBytes)
         waitForData();
+    return size > 0;
+}
+
+void CallerConnection::readAll()
+{
+    while (isReading() && readSocket()) {
+    }
+}
+
+bool CallerConnection::isReading() const
+{
+    return phase() == CallerPhase::Idle || phase() == CallerPhase::Receiving;
 }
 
 void CallerConnection::parseBytes()
@@ -133,19 +126,26 @@
         reject(statusOf(m_parser.fault()));
     } else if (m_parser.isComplete()) {
         dispatchRequest();
-    } else if (m_parser.expectsContinue() && !std::exchange(m_hasSentContinue, true)) {
-        m_unwritten += "HTTP/1.1 100 Continue\r\n\r\n";
-        asio::error_code ignored;
-        const std::size_t written = m_socket.write_some(asio::buffer(m_unwritten), ignored);
-        m_unwritten.erase(0, written);
+    } else if (m_parser.hasHeaders() && phase() == CallerPhase::Receiving) {
+        m_timeouts.onHeaders();
+        continueIfExpected();
     }
 }
 
+void CallerConnection::continueIfExpected()
+{
+    if (!m_parser.expectsContinue() || std::exchange(m_hasSentContinue, true))
+        return;
+    m_unwritten += "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::error_code ignored;
+    const std::size_t written = m_socket.write_some(asio::buffer(m_unwritten), ignored);
+    m_unwritten.erase(0, written);
+}
+
 void CallerConnection::dispatchRequest()
 {
     HttpRequest request = m_parser.takeRequest();
-    m_state = State::Working;
-    m_stateSince = Clock::now();
+    enter(CallerPhase::Working);
     m_isHeadRequest = request.method == "HEAD";
     m_isKeepAlive = request.keepAlive;
     m_hasSentContinue = false;
@@ -156,7 +156,7 @@
 {
     m_events.onRejected(status);
     m_isKeepAlive = false;
-    m_state = State::Working;
+    enter(CallerPhase::Working);
     HttpResponse response;
     response.status = status;
     respond(std::move(response));
@@ -164,14 +164,13 @@
 
 void CallerConnection::respond(HttpResponse response)
 {
-    if (m_state != State::Working)
+    if (phase() != CallerPhase::Working)
         return;
     m_isKeepAlive = m_isKeepAlive && !m_closesAfterResponse && response.keepAlive;
     response.keepAlive = m_isKeepAlive;
     std::string bytes;
     appendResponse(bytes, response, m_isHeadRequest);
-    m_state = State::Writing;
-    m_stateSince = Clock::now();
+    enter(CallerPhase::Answering);
     write(bytes);
 }
 
@@ -191,7 +190,7 @@
     }
     asio::async_write(m_socket, asio::buffer(m_unwritten),
                       [self = shared_from_this()](const asio::error_code &failure, std::size_t) {
-                          if (self->m_state == State::Closed)
+                          if (self->phase() == CallerPhase::Closed)
                               return;
                           self->m_unwritten.clear();
                           if (failure)
@@ -207,22 +206,21 @@
         linger(ConnectionEnd::Cause::LastAnswer);
         return;
     }
-    m_state = State::Reading;
-    m_stateSince = Clock::now();
+    enter(CallerPhase::Idle);
     waitForData();
     if (m_unparsed.empty())
         return;
+    enter(CallerPhase::Receiving);
     // Posted, because the owner may still be finishing the request that it has just responded to.
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->m_state == State::Reading)
+        if (self->isReading())
             self->parseBytes();
     });
 }
 
 void CallerConnection::linger(ConnectionEnd::Cause cause)
 {
-    m_state = State::Lingering;
-    m_stateSince = Clock::now();
+    enter(CallerPhase::Closing);
     m_lingerCause = cause;
     m_discardedBytes = m_unparsed.size();
     m_unparsed.clear();
@@ -233,57 +231,46 @@
 
 bool CallerConnection::closeIfIdle()
 {
-    if (m_state != State::Reading || m_parser.hasBegun() || !m_unparsed.empty())
-        return m_state == State::Lingering || m_state == State::Closed;
-    linger(ConnectionEnd::Cause::Stop);
-    return true;
+    readAll();
+    if (phase() == CallerPhase::Idle)
+        linger(ConnectionEnd::Cause::Stop);
+    return phase() == CallerPhase::Closing || phase() == CallerPhase::Closed;
 }
 
 void CallerConnection::sweep(Clock::time_point now, const CallerLimits &limits)
 {
-    m_parser.setLimits(sizeLimits(limits));
-    const Clock::duration age = now - m_stateSince;
-    const bool isOverdue = (m_state == State::Lingering && age >= LingerTime)
-        || (m_state == State::Writing && age >= WriteTimeout);
-    if (isOverdue) {
-        close(m_state == State::Writing ? ConnectionEnd::Cause::AnswerNotRead : m_lingerCause);
-    } else if (m_state == State::Reading) {
-        if (!m_parser.hasBegun()) {
-            if (age >= limits.idleTimeout + IdleMargin)
-                linger(ConnectionEnd::Cause::Idle);
-        } else if (age >= (m_parser.hasHeaders() ? BodyTimeout : limits.headerTimeout)) {
-            reject(httpstatus::RequestTimeout);
-        }
-    }
-}
-
-ConnectionEnd::Phase CallerConnection::phase() const
-{
-    switch (m_state) {
-    case State::Working:
-        return ConnectionEnd::Phase::Working;
-    case State::Writing:
-        return ConnectionEnd::Phase::Answering;
-    case State::Lingering:
-    case State::Closed:
-        return ConnectionEnd::Phase::Closing;
-    case State::Reading:
+    using Due = CallerTimeouts::Due;
+    m_timeouts.setLimits(limits);
+    m_parser.setLimits(sizeLimits(m_timeouts.limits()));
+    if (m_timeouts.check(now) == Due::Nothing)
+        return;
+    readAll();
+    switch (m_timeouts.check(now)) {
+    case Due::Nothing:
+        break;
+    case Due::CloseIdle:
+        linger(ConnectionEnd::Cause::Idle);
+        break;
+    case Due::RejectOverdue:
+        reject(httpstatus::RequestTimeout);
+        break;
+    case Due::Abort:
+        close(phase() == CallerPhase::Answering ? ConnectionEnd::Cause::AnswerNotRead
+                                                : m_lingerCause);
         break;
     }
-    return m_parser.hasBegun() || !m_unparsed.empty() ? ConnectionEnd::Phase::Receiving
-                                                      : ConnectionEnd::Phase::Idle;
 }
 
 void CallerConnection::close(ConnectionEnd::Cause cause)
 {
-    if (m_state == State::Closed)
+    if (phase() == CallerPhase::Closed)
         return;
     const ConnectionEnd end{cause, phase(), m_discardedBytes + m_unparsed.size()};
-    m_state = State::Closed;
+    enter(CallerPhase::Closed);
     asio::error_code ignored;
     m_socket.close(ignored);
     const CallerConnectionPtr self = shared_from_this();
-    if (end.phase == ConnectionEnd::Phase::Working)
+    if (end.phase == CallerPhase::Working)
         m_events.onCallerDisconnected(self, cause);
     if (m_events.onEnded)
         m_events.onEnded(end);
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -11,6 +11,7 @@
 
 #include "http/httpexchange.h"
 #include "http/httpparser.h"
+#include "mangoshift/callertimeouts.h"
 #include "mangoshift/clock.h"
 #include "mangoshift/routing.h"
 
@@ -31,23 +32,15 @@
         LastAnswer, ///< The response was the last one of the connection.
         Stop, ///< The VM stops.
     };
-    /// What the connection was doing.
-    enum class Phase : std::uint8_t {
-        Idle,
-        Receiving, ///< A part of a request has arrived.
-        Working, ///< A request is being processed.
-        Answering, ///< A response is being written.
-        Closing, ///< The VM has closed its sending side.
-    };
 
     Cause cause;
-    Phase phase;
+    /// What the connection was doing.
+    CallerPhase phase;
     /// The number of bytes that were received and not parsed.
     std::size_t unusedBytes = 0;
 };
 
 std::string_view toString(ConnectionEnd::Cause cause);
-std::string_view toString(ConnectionEnd::Phase phase);
 
 /// The callbacks of a listener's connections, all called on the listener's thread. `CallerListener`
 /// sets `onClosed` itself.
@@ -86,39 +79,43 @@
     /// Closes the connection gracefully unless a request is being received or processed or its
     /// response is being written. Returns false if one is.
     bool closeIfIdle();
-    /// Enforces the timeouts: rejects a request whose headers or body are overdue, and closes the
-    /// connection if the caller does not read its response or if the connection is idle too long.
+    /// Enforces the timeouts, see `CallerTimeouts`: rejects a request whose headers or body are
+    /// overdue, and closes the connection if the caller does not read its response or if the
+    /// connection is idle too long.
     void sweep(Clock::time_point now, const CallerLimits &limits);
     void close(ConnectionEnd::Cause cause);
 
 private:
-    enum class State : std::uint8_t { Reading, Working, Writing, Lingering, Closed };
-
     void waitForData();
-    void readSocket();
+    /// Reads once, and returns whether any bytes had arrived.
+    bool readSocket();
+    /// Handles all that has arrived, unless a request is being processed. A busy thread may not
+    /// have read it yet.
+    void readAll();
+    bool isReading() const;
     void parseBytes();
+    /// Sends the interim response that the caller waits for before it sends the body.
+    void continueIfExpected();
     void dispatchRequest();
     void reject(int status);
     void write(const std::string &bytes);
     void onWritten();
     /// Closes the sending side, and the connection once the caller has closed it too.
     void linger(ConnectionEnd::Cause cause);
-    ConnectionEnd::Phase phase() const;
+    CallerPhase phase() const { return m_timeouts.phase(); }
+    void enter(CallerPhase phase) { m_timeouts.enter(phase, Clock::now()); }
 
     asio::ip::tcp::socket m_socket;
     const CallerEvents &m_events;
     HttpParser m_parser;
-    State m_state = State::Reading;
-    /// Why the sending side was closed, in `Lingering`.
+    CallerTimeouts m_timeouts;
+    /// Why the sending side was closed, in `CallerPhase::Closing`.
     ConnectionEnd::Cause m_lingerCause = ConnectionEnd::Cause::LastAnswer;
-    /// The number of bytes received in `Lingering`, or not parsed when it began.
+    /// The number of bytes received in `CallerPhase::Closing`, or not parsed when it began.
     std::size_t m_discardedBytes = 0;
     /// Received bytes that are not parsed yet, such as those after the current request.
     std::string m_unparsed;
     std::string m_unwritten;
-    /// When the current state began; in `Reading`, when the first byte of the current request was
-    /// received, once there is one.
-    Clock::time_point m_stateSince;
     bool m_isWaitingForData = false;
     bool m_isHeadRequest = false;
     bool m_isKeepAlive = true;
--- a/test/unit/callerlistener_test.cpp
+++ b/test/unit/callerlistener_test.cpp
@@ -45,6 +45,8 @@
         response.body = body;
         m_connections.back()->respond(std::move(response));
     }
+    /// Handles what has arrived.
+    void poll() { m_io.poll(); }
     bool run(const std::function<bool()> &isDone) { return runUntil(m_io, isDone); }
     bool runUntilRequests(std::size_t count)
     {
@@ -170,7 +172,6 @@
 TEST_CASE("A listener reports how a connection ended")
 {
     using Cause = ConnectionEnd::Cause;
-    using Phase = ConnectionEnd::Phase;
     ListenerFixture fixture;
     fixture.sendRequest("/one");
     REQUIRE(fixture.runUntilRequests(1));
@@ -180,14 +181,14 @@
         fixture.disconnect();
         REQUIRE(fixture.runUntilEnded());
         CHECK(fixture.ends().front().cause == Cause::CallerClosed);
-        CHECK(fixture.ends().front().phase == Phase::Working);
+        CHECK(fixture.ends().front().phase == CallerPhase::Working);
     }
     SECTION("when it was reset before the response")
     {
         fixture.reset();
         REQUIRE(fixture.runUntilEnded());
         CHECK(fixture.ends().front().cause == Cause::CallerReset);
-        CHECK(fixture.ends().front().phase == Phase::Working);
+        CHECK(fixture.ends().front().phase == CallerPhase::Working);
     }
     SECTION("when the response was its last one, with what the caller has sent since")
     {
@@ -198,7 +199,7 @@
         fixture.disconnect();
         REQUIRE(fixture.runUntilEnded());
         CHECK(fixture.ends().front().cause == Cause::LastAnswer);
-        CHECK(fixture.ends().front().phase == Phase::Closing);
+        CHECK(fixture.ends().front().phase == CallerPhase::Closing);
         CHECK(fixture.ends().front().unusedBytes == 4);
     }
 }
@@ -270,6 +271,58 @@
     CHECK(fixture.requests().front().body == "abc");
 }
 
+// Guards against a connection that is closed as idle while a whole request lies in its socket.
+TEST_CASE("A request that has arrived before its connection counts as overdue is answered")
+{
+    ListenerFixture fixture;
+    REQUIRE(fixture.run([&] { return fixture.listener().connections() == 1; }));
+
+    SECTION("when the idle limit has passed before the busy thread read it")
+    {
+        fixture.sendRequest("/one");
+        fixture.listener().sweep(Clock::now() + 1h);
+    }
+    SECTION("when idle connections are closed before the busy thread read it")
+    {
+        fixture.sendRequest("/one");
+        fixture.listener().closeIdle();
+    }
+    SECTION("when the time for its headers has passed before the busy thread read the rest")
+    {
+        fixture.send("GET /one HTTP/1.1\r\n");
+        fixture.poll();
+        fixture.send("Host: shop.example\r\n\r\n");
+        fixture.listener().sweep(Clock::now() + 1h);
+    }
+    REQUIRE(fixture.runUntilRequests(1));
+    fixture.respond("answer");
+    CHECK(fixture.receives("answer"));
+}
+
+TEST_CASE(
+    "A configuration with a shorter idle limit closes no connection that is idle by a longer one")
+{
+    ListenerFixture fixture;
+    CallerLimits limits;
+    limits.idleTimeout = 60s;
+    fixture.listener().setLimits(limits);
+    fixture.listener().sweep(Clock::now());
+    fixture.sendRequest("/one");
+    REQUIRE(fixture.runUntilRequests(1));
+    fixture.respond("first");
+    REQUIRE(fixture.receives("first"));
+
+    limits.idleTimeout = 5s;
+    fixture.listener().setLimits(limits);
+    fixture.listener().sweep(Clock::now() + 50s);
+    fixture.sendRequest("/two");
+    REQUIRE(fixture.runUntilRequests(2));
+    fixture.respond("second");
+    CHECK(fixture.receives("second"));
+    fixture.listener().sweep(Clock::now() + 10s);
+    CHECK(fixture.waitUntilClosed());
+}
+
 TEST_CASE("An idle connection is closed after the idle timeout and not before")
 {
     ListenerFixture fixture;
