Serve the connections that were made before a VM stops to accept

Callers of a VM that is stopped saw a reset on a connection that was established and carried a whole request.

Cause: the system accepts connections ahead of the process, up to the backlog, and resets what is left there when the listening socket is closed. A VM that is short of processor time leaves some there. They are now taken before the socket is closed.

Before: unittests "A connection that was made before the listener stopped*" fails (no request arrives). After: it passes. What remains: a connection made between the last accept and the close is still reset; the VM has read nothing of it.

--- a/src/http/callerlistener.cpp
+++ b/src/http/callerlistener.cpp
@@ -59,25 +59,42 @@
     m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket socket) {
         if (error == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        if (error) {
+        if (error)
             logEvent(LogLevel::Warning, "accept_failed", {{"why", error.message()}});
-        } else if (m_connections.size() >= m_maxConnections) {
-            logEvent(LogLevel::Warning, "connection_rejected",
-                     {{"connections", std::to_string(m_connections.size())}});
-        } else {
-            const auto connection =
-                std::make_shared<CallerConnection>(std::move(socket), m_events, m_limits);
-            if (m_isClosingAfterResponses)
-                connection->closeAfterResponse();
-            m_connections.insert(connection);
-            connection->start();
-        }
+        else
+            adopt(std::move(socket));
         accept();
     });
 }
 
+void CallerListener::adopt(tcp::socket socket)
+{
+    if (m_connections.size() >= m_maxConnections) {
+        logEvent(LogLevel::Warning, "connection_rejected",
+                 {{"connections", std::to_string(m_connections.size())}});
+        return;
+    }
+    const auto connection =
+        std::make_shared<CallerConnection>(std::move(socket), m_events, m_limits);
+    if (m_isClosingAfterResponses)
+        connection->closeAfterResponse();
+    m_connections.insert(connection);
+    connection->start();
+}
+
 void CallerListener::stopAccepting()
 {
+    if (!m_acceptor.is_open())
+        return;
+    // The system has accepted these connections already, and resets them with the socket.
+    asio::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, error);
+        if (!error)
+            adopt(std::move(socket));
+    }
     asio::error_code ignored;
     m_acceptor.close(ignored);
 }
--- a/src/http/callerlistener.h
+++ b/src/http/callerlistener.h
@@ -23,6 +23,7 @@
 
     /// Returns false if the address cannot be listened on.
     bool listen(const Address &address);
+    /// Takes the connections that callers have made so far, and no further ones.
     void stopAccepting();
     /// Sets the limits of new connections, and of open connections from the next `sweep`.
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
@@ -37,6 +38,7 @@
 
 private:
     void accept();
+    void adopt(asio::ip::tcp::socket socket);
 
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_maxConnections;
--- a/test/unit/callerlistener_test.cpp
+++ b/test/unit/callerlistener_test.cpp
@@ -323,6 +323,17 @@
     CHECK(fixture.waitUntilClosed());
 }
 
+// Guards against connections that the system resets because the VM had not taken them yet.
+TEST_CASE("A connection that was made before the listener stopped to accept is served")
+{
+    ListenerFixture fixture;
+    fixture.sendRequest("/one");
+    fixture.listener().stopAccepting();
+    REQUIRE(fixture.runUntilRequests(1));
+    fixture.respond("answer");
+    CHECK(fixture.receives("answer"));
+}
+
 TEST_CASE("An idle connection is closed after the idle timeout and not before")
 {
     ListenerFixture fixture;
