Answer a caller that closes its sending side after a whole request

The end of file was taken for a caller that has left, which looks the same until something is written to it.

What the VM still does for such a caller was already bounded: calls in flight go on for 250 ms, so that their connections can be kept. Now an answer that arrives within that time is sent, parts of a query included if they suffice; what waits for a target is taken back; nothing more is sent; and at the end of that time the caller gets a final response that says whether the request may have run. A caller that has left for good costs no target more than before, and its request is still counted as caller_left. A reset ends a request at once, as before.

Ruled out: to serve such a request to its deadline. Most of these callers have left, and targets would work for nobody.

finishNow also returns the parts that suffice for an answer at the end of a stop, where it discarded them.

Before: unittests "A caller that closes its sending side*" and systemtests of the same name fail (the connection ends without a byte). After: both pass.

--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -218,6 +218,13 @@
         const std::shared_ptr<RequestExchange> exchange = it->second;
         exchange->onCallerDisconnected(cause);
     };
+    events.onCallerFinished = [this](const CallerConnectionPtr &connection) {
+        const auto it = m_exchanges.find(connection);
+        if (it == m_exchanges.end())
+            return;
+        const std::shared_ptr<RequestExchange> exchange = it->second;
+        exchange->onCallerFinished();
+    };
     events.onEnded = [this](const ConnectionEnd &end) { onConnectionEnded(end); };
     events.onRejected = [](int status) {
         logEvent(LogLevel::Info, "request_rejected", {{"status", std::to_string(status)}});
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -309,6 +309,8 @@
 RequestActions RequestExchange::callTarget(const SendPart &action, Payment payment,
                                            Clock::time_point now)
 {
+    if (m_callerLeftEnd)
+        return onUnsent(action, {Execution::NotRun, Reason::Cancelled}, now);
     Part &part = m_parts[action.part];
     ServiceCall call;
     call.service = part.service;
@@ -511,7 +513,8 @@
 
 void RequestExchange::armTimer()
 {
-    const Clock::time_point next = m_machine->nextEvent();
+    const Clock::time_point next =
+        std::min(m_machine->nextEvent(), m_callerLeftEnd.value_or(Clock::time_point::max()));
     if (m_timer.expiry() == next)
         return;
     m_timer.expires_at(next);
@@ -519,7 +522,11 @@
         const auto self = weak.lock();
         if (error || !self || self->m_isFinished)
             return;
-        self->perform(self->m_machine->onTimer(Clock::now()));
+        const Clock::time_point now = Clock::now();
+        if (self->m_callerLeftEnd && now >= *self->m_callerLeftEnd)
+            self->finishNow(Reason::Cancelled);
+        else
+            self->perform(self->m_machine->onTimer(now));
     });
 }
 
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -31,7 +31,11 @@
     /// Handles the disconnection of the caller: nothing more is sent, and the calls in flight are
     /// cancelled after a grace period.
     void onCallerDisconnected(ConnectionEnd::Cause cause);
-    /// Sends the final response now, without the parts that are missing.
+    /// Handles that the caller has closed its sending side or, more often, has left: nothing more
+    /// is sent, and the caller gets what arrives within the grace period, or a final response.
+    void onCallerFinished();
+    /// Sends the final response now: an answer without the parts that are missing if enough have
+    /// arrived, otherwise a failure.
     void finishNow(Reason reason);
 
     const IncomingRequest &request() const { return m_request; }
@@ -102,6 +106,8 @@
     HttpResponse mergedAnswer() const;
     HttpResponse forwardedAnswer() const;
     void respondWithFailure(const Verdict &verdict);
+    /// Takes back the parts that wait for a target.
+    void dropWaitingParts();
     void finish(std::chrono::milliseconds gracePeriod);
     void armTimer();
     /// Appends a decision to the request's trace, with the time since the request was received.
@@ -125,6 +131,8 @@
     /// The last response of a target that may be forwarded as it is.
     std::optional<HttpResponse> m_response;
     asio::basic_waitable_timer<Clock> m_timer;
+    /// When the request ends because its caller has probably left; no value before it has.
+    std::optional<Clock::time_point> m_callerLeftEnd;
     /// The decisions other than first sends, bounded in size; logged when the request ends.
     std::string m_trace;
     std::size_t m_hedges = 0;
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -21,6 +21,8 @@
 /// How long the reply to a copy that is no longer needed is waited for before its connection counts
 /// as silent: several times the length of the targets' pauses.
 constexpr milliseconds UnneededReplyTimeout{1500};
+/// When a caller should repeat a request that was ended before it was sent.
+constexpr milliseconds UnsentRetryAfter{100};
 /// The greatest length of a request's trace; the first decisions usually explain the later ones.
 constexpr std::size_t MaxTraceBytes = 600;
 /// One in this many ordinary requests is logged.
@@ -105,11 +107,11 @@
         m_request.connection->respond(forwardedAnswer());
     } else {
         const int status = statusOf(verdict);
-        recordOutcome(status, verdict.execution == Execution::NotRun ? "refused" : "error",
-                      verdict);
+        const char *outcome = verdict.execution == Execution::NotRun ? "refused" : "error";
+        recordOutcome(status, m_callerLeftEnd ? "caller_left" : outcome, verdict);
         m_request.connection->respond(failureResponse(status, verdict));
     }
-    finish(DisconnectGracePeriod);
+    finish(m_callerLeftEnd ? milliseconds(0) : DisconnectGracePeriod);
 }
 
 void RequestExchange::onCallerDisconnected(ConnectionEnd::Cause cause)
@@ -121,13 +123,51 @@
     finish(DisconnectGracePeriod);
 }
 
+void RequestExchange::onCallerFinished()
+{
+    if (m_isFinished)
+        return;
+    addToTrace("caller_left", m_request.route->name, {},
+               toString(ConnectionEnd::Cause::CallerClosed).data());
+    m_callerLeftEnd = Clock::now() + DisconnectGracePeriod;
+    dropWaitingParts();
+    if (m_isFinished)
+        return;
+    const bool hasPending = std::any_of(m_parts.begin(), m_parts.end(), [](const Part &part) {
+        return std::any_of(part.copies.begin(), part.copies.end(),
+                           [](const Copy &copy) { return copy.isPending; });
+    });
+    if (hasPending)
+        armTimer();
+    else
+        finishNow(Reason::Cancelled);
+}
+
+void RequestExchange::dropWaitingParts()
+{
+    for (std::size_t i = 0; i < m_parts.size() && !m_isFinished; ++i) {
+        Part &part = m_parts[i];
+        if (!std::exchange(part.isWaiting, false))
+            continue;
+        m_state.directory.dropWaiting(part.service, m_forwarded);
+        perform(m_machine->onUnsent(i, {Execution::NotRun, Reason::Cancelled}, Clock::now()));
+    }
+}
+
 void RequestExchange::finishNow(Reason reason)
 {
     if (m_isFinished)
         return;
+    if (m_machine->answeredParts() >= m_minParts) {
+        respondWithAnswer();
+        return;
+    }
     const bool hasSent = std::any_of(m_parts.begin(), m_parts.end(),
                                      [](const Part &part) { return part.mayHaveArrived; });
-    respondWithFailure({hasSent ? Execution::MayHaveRun : Execution::NotRun, reason});
+    if (hasSent)
+        respondWithFailure({Execution::MayHaveRun, reason});
+    else
+        respondWithFailure({Execution::NotRun, reason, UnsentRetryAfter});
 }
 
 void RequestExchange::finish(milliseconds gracePeriod)
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -69,7 +69,7 @@
 
 void CallerConnection::waitForData()
 {
-    if (std::exchange(m_isWaitingForData, true))
+    if (m_isReadClosed || std::exchange(m_isWaitingForData, true))
         return;
     m_socket.async_wait(tcp::socket::wait_read,
                         [self = shared_from_this()](const asio::error_code &error) {
@@ -88,6 +88,10 @@
     static thread_local std::array<char, ReadBytes> buffer;
     asio::error_code error;
     const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::eof) {
+        onReadClosed();
+        return false;
+    }
     if (error && error != asio::error::would_block) {
         close(phase() == CallerPhase::Closing ? m_lingerCause : causeOf(error));
         return false;
@@ -116,6 +120,18 @@
     return phase() == CallerPhase::Idle || phase() == CallerPhase::Receiving;
 }
 
+void CallerConnection::onReadClosed()
+{
+    m_isReadClosed = true;
+    m_isKeepAlive = false;
+    if (phase() == CallerPhase::Answering)
+        return;
+    if (phase() == CallerPhase::Working && m_events.onCallerFinished)
+        m_events.onCallerFinished(shared_from_this());
+    else
+        close(phase() == CallerPhase::Closing ? m_lingerCause : ConnectionEnd::Cause::CallerClosed);
+}
+
 void CallerConnection::parseBytes()
 {
     if (m_unparsed.empty())
@@ -226,7 +242,10 @@
     m_unparsed.clear();
     asio::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-    waitForData();
+    if (m_isReadClosed)
+        close(cause);
+    else
+        waitForData();
 }
 
 bool CallerConnection::closeIfIdle()
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -51,6 +51,10 @@
     std::function<void(const CallerConnectionPtr &, HttpRequest)> onRequest;
     /// The caller disconnected before its request was answered.
     std::function<void(const CallerConnectionPtr &, ConnectionEnd::Cause)> onCallerDisconnected;
+    /// The caller has closed its sending side, or the whole connection, before its request was
+    /// answered: which of both shows only once it is sent something. The handler must respond
+    /// soon. If this is empty, the connection is closed instead.
+    std::function<void(const CallerConnectionPtr &)> onCallerFinished;
     /// The connection ended for this reason; called before `onClosed`. May be empty.
     std::function<void(const ConnectionEnd &)> onEnded;
     /// The connection was closed; called once.
@@ -92,6 +96,7 @@
     /// Handles all that has arrived, unless a request is being processed. A busy thread may not
     /// have read it yet.
     void readAll();
+    void onReadClosed();
     bool isReading() const;
     void parseBytes();
     /// Sends the interim response that the caller waits for before it sends the body.
@@ -117,6 +122,8 @@
     std::string m_unparsed;
     std::string m_unwritten;
     bool m_isWaitingForData = false;
+    /// Whether the caller has closed its sending side.
+    bool m_isReadClosed = false;
     bool m_isHeadRequest = false;
     bool m_isKeepAlive = true;
     bool m_closesAfterResponse = false;
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -173,6 +173,47 @@
     }
 }
 
+TEST_CASE("A caller that closes its sending side after a request gets an answer or a refusal")
+{
+    EntrySystem system;
+    RawConnection caller(system.callerAddress());
+    const auto sendAndFinish = [&caller](const std::string &method, const std::string &path,
+                                         const std::string &id) {
+        caller.send(method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
+                    + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n");
+        caller.finishSending();
+        return caller.readToEnd();
+    };
+
+    SECTION("an answer that arrives soon")
+    {
+        CHECK(contains(sendAndFinish("POST", "/orders/x", "half"), "HTTP/1.1 200 "));
+        CHECK(system.targetsThatRan("half").size() == 1);
+    }
+    SECTION("the parts of a query that have arrived soon")
+    {
+        system.setTargetMode("i-s1a", "mute");
+        system.setTargetMode("i-s1b", "mute");
+        const std::string answer = sendAndFinish("GET", "/all/x", "part");
+        CHECK(contains(answer, "HTTP/1.1 200 "));
+        CHECK(contains(answer, "X-Missing-Parts: 1"));
+    }
+    SECTION("a failure that says it may have run if the target does not answer soon")
+    {
+        system.setTargetMode("i-oa", "mute");
+        system.setTargetMode("i-ob", "mute");
+        const auto sentAt = std::chrono::steady_clock::now();
+        const std::string answer = sendAndFinish("POST", "/orders/x", "mute");
+        CHECK(std::chrono::steady_clock::now() - sentAt < std::chrono::seconds(2));
+        CHECK(contains(answer, "HTTP/1.1 502 "));
+        CHECK(contains(answer, "\"execution\":\"may_have_run\""));
+        CHECK(system.targetsThatRan("mute").size() == 1);
+        const std::string line = system.waitForLogLine("mute");
+        CHECK(contains(line, "outcome=caller_left"));
+        CHECK(contains(line, ":caller_left:orders:caller_closed"));
+    }
+}
+
 TEST_CASE("A request that waits for a target is charged to the retry budget once")
 {
     constexpr int slack = 5;
--- a/test/system/rawconnection.h
+++ b/test/system/rawconnection.h
@@ -29,6 +29,13 @@
         asio::write(m_socket, asio::buffer(bytes), ignored);
     }
 
+    /// Closes the sending side; the peer may still send.
+    void finishSending()
+    {
+        asio::error_code ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
     /// Waits until `text` has been received. Returns false if the peer closes the connection first.
     bool receives(const std::string &text)
     {
--- a/test/unit/callerlistener_test.cpp
+++ b/test/unit/callerlistener_test.cpp
@@ -23,8 +23,12 @@
 class ListenerFixture
 {
 public:
-    ListenerFixture()
-        : m_listener(m_io, 16, events())
+    /// What happens when a caller closes its sending side before the response.
+    enum class FinishedCallers { Disconnected, Served };
+
+    explicit ListenerFixture(FinishedCallers finishedCallers = FinishedCallers::Disconnected)
+        : m_finishedCallers(finishedCallers)
+        , m_listener(m_io, 16, events())
         , m_caller(m_io)
     {
         const Address address = freeAddress(m_io);
@@ -61,6 +65,7 @@
         return run([this] { return m_isClosed; });
     }
     void disconnect() { m_caller.close(); }
+    void finishSending() { m_caller.shutdown(asio::ip::tcp::socket::shutdown_send); }
     /// Closes the connection with a TCP reset.
     void reset()
     {
@@ -76,6 +81,7 @@
     const std::vector<HttpRequest> &requests() const { return m_requests; }
     const std::string &received() const { return m_received; }
     std::size_t disconnections() const { return m_disconnections; }
+    std::size_t finished() const { return m_finished; }
     const std::vector<ConnectionEnd> &ends() const { return m_ends; }
 
 private:
@@ -89,6 +95,8 @@
         events.onCallerDisconnected = [this](const CallerConnectionPtr &, ConnectionEnd::Cause) {
             ++m_disconnections;
         };
+        if (m_finishedCallers == FinishedCallers::Served)
+            events.onCallerFinished = [this](const CallerConnectionPtr &) { ++m_finished; };
         events.onEnded = [this](const ConnectionEnd &end) { m_ends.push_back(end); };
         events.onRejected = [](int) {};
         return events;
@@ -105,10 +113,12 @@
                                  });
     }
 
+    FinishedCallers m_finishedCallers;
     asio::io_context m_io;
     std::vector<CallerConnectionPtr> m_connections;
     std::vector<HttpRequest> m_requests;
     std::size_t m_disconnections = 0;
+    std::size_t m_finished = 0;
     std::vector<ConnectionEnd> m_ends;
     CallerListener m_listener;
     asio::ip::tcp::socket m_caller;
@@ -334,6 +344,32 @@
     CHECK(fixture.receives("answer"));
 }
 
+TEST_CASE("A caller that closes its sending side after a whole request")
+{
+    ListenerFixture fixture(ListenerFixture::FinishedCallers::Served);
+    fixture.sendRequest("/one");
+    fixture.finishSending();
+    REQUIRE(fixture.runUntilRequests(1));
+    REQUIRE(fixture.run([&] { return fixture.finished() == 1; }));
+
+    SECTION("gets the response, and the connection ends")
+    {
+        fixture.respond("answer");
+        CHECK(fixture.receives("Connection: close"));
+        CHECK(fixture.receives("answer"));
+        CHECK(fixture.waitUntilClosed());
+        CHECK(fixture.disconnections() == 0);
+        CHECK(fixture.ends().front().cause == ConnectionEnd::Cause::LastAnswer);
+    }
+    SECTION("gets a response that is larger than what the socket takes at once")
+    {
+        const std::string body(8U << 20U, 'x');
+        fixture.respond(body);
+        REQUIRE(fixture.waitUntilClosed());
+        CHECK(fixture.received().size() > body.size());
+    }
+}
+
 TEST_CASE("An idle connection is closed after the idle timeout and not before")
 {
     ListenerFixture fixture;
