--- a/test/soak/cluster.cpp
+++ b/test/soak/cluster.cpp
@@ -28,6 +28,9 @@
 /// How long a stand-in may take to connect and to respond to a command.
 constexpr std::chrono::seconds CommandTimeout{5};
 constexpr milliseconds PollInterval{10};
+/// The idle limits of callers' connections in alternate versions of the configuration.
+constexpr milliseconds LongIdleTimeout{15000};
+constexpr milliseconds ShortIdleTimeout{1000};
 
 /// Returns false if the condition does not become true within `StartStopTimeout`.
 template <typename Condition>
@@ -328,6 +331,7 @@
         return json;
     };
     const bool isResharded = version / MovingServices % 2 == 1;
+    const milliseconds idleTimeout = version % 2 == 0 ? LongIdleTimeout : ShortIdleTimeout;
     const std::vector<std::string> shards = shardNames(m_shape, isResharded);
     Json document{{"version", version * 3 + 1}, {"services", Json::array()}};
     document["routes"] = {route("all", "safe", m_shape.allTimeout, m_shape.allLatencyTarget,
@@ -347,6 +351,10 @@
             {{"name", movingService(i)}, {"max_conns", m_shape.pooledTargets.connections}});
     document["services"].push_back(
         {{"name", "orders"}, {"max_conns", m_shape.pooledTargets.connections}});
+    document["limits"] = {{"max_header_bytes", 16384},
+                          {"max_body_bytes", 262144},
+                          {"header_timeout_ms", 3000},
+                          {"idle_timeout_ms", idleTimeout.count()}};
     return document;
 }
 
