Guard against a shorter idle limit that ends connections in use

On real processes: a caller whose connection is idle under a limit of 60 s loses its next request once a configuration with a limit of 1 ms is in force.

The test waits for a newer connection to be closed by the new limit, so it needs no sleep.

--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -214,6 +214,26 @@
     }
 }
 
+TEST_CASE("A shorter idle limit ends no connection whose caller counts on the longer one")
+{
+    EntrySystem system;
+    const std::string order = "POST /orders/x HTTP/1.1\r\nHost: shop.example\r\n"
+                              "X-Deadline-Ms: 3000\r\nContent-Length: 0\r\nX-Request-Id: ";
+    RawConnection early(system.callerAddress());
+    early.send(order + "first\r\n\r\n");
+    REQUIRE(early.receives("X-Request-Id: first"));
+
+    system.publishConfiguration(2, "s1", std::chrono::milliseconds(1));
+    REQUIRE(eventually(
+        [&system] { return contains(system.log(), "event=configuration_adopted version=2"); }));
+    RawConnection late(system.callerAddress());
+    CHECK(late.readToEnd().empty());
+
+    early.send(order + "second\r\n\r\n");
+    CHECK(early.receives("X-Request-Id: second"));
+    CHECK(system.targetsThatRan("second").size() == 1);
+}
+
 TEST_CASE("A request that waits for a target is charged to the retry budget once")
 {
     constexpr int slack = 5;
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -110,8 +110,9 @@
 
     /// Publishes a configuration with three routes: `all` fans out over three shards, `changing`
     /// forwards safe requests to `service`, and `orders` forwards unsafe requests, which may run at
-    /// most once.
-    void publishConfiguration(int version, const std::string &service)
+    /// most once. Connections of callers may be idle for `idleTimeout`.
+    void publishConfiguration(int version, const std::string &service,
+                              std::chrono::milliseconds idleTimeout = std::chrono::seconds(60))
     {
         const auto route = [](const std::string &name, const std::string &kind,
                               const nlohmann::json &extraFields) {
@@ -130,6 +131,10 @@
             route("orders", "unsafe", {{"service", "orders"}})};
         for (const std::string name : {"s1", "s2", "s3", "orders"})
             document["services"].push_back({{"name", name}, {"max_conns", 26}});
+        document["limits"] = {{"max_header_bytes", 16384},
+                              {"max_body_bytes", 262144},
+                              {"header_timeout_ms", 5000},
+                              {"idle_timeout_ms", idleTimeout.count()}};
         REQUIRE(sendControlRequest("1", "PUT", "/item?op/config", document.dump()));
     }
 
