End all work for a caller that has left after the same grace period

The routing table is declared before the listeners, whose connections name its version when they are destroyed.

Not covered by a test of its own: how long the calls of an unanswered part go on (no test may depend on such a time). systemtests "A caller that closes its sending side*" covers the responses.

--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -140,9 +140,10 @@
     /// Declared before the listeners so that it outlives the connections: the handler of a
     /// disconnection looks up the exchange here.
     std::unordered_map<CallerConnectionPtr, std::shared_ptr<RequestExchange>> m_exchanges;
+    /// Declared before the listeners, whose connections report their end.
+    RoutingTablePtr m_routing;
     CallerListener m_callers;
     CallerListener m_balancer;
-    RoutingTablePtr m_routing;
     bool m_isRegistryListed = false;
     bool m_isLeaving = false;
     Clock::time_point m_leavingSince{};
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -106,6 +106,8 @@
     HttpResponse mergedAnswer() const;
     HttpResponse forwardedAnswer() const;
     void respondWithFailure(const Verdict &verdict);
+    /// Ends the calls in flight after a grace period, in which their responses are still received.
+    void abandonCalls(Clock::duration gracePeriod);
     /// Takes back the parts that wait for a target.
     void dropWaitingParts();
     void finish(std::chrono::milliseconds gracePeriod);
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -111,7 +111,7 @@
         recordOutcome(status, m_callerLeftEnd ? "caller_left" : outcome, verdict);
         m_request.connection->respond(failureResponse(status, verdict));
     }
-    finish(m_callerLeftEnd ? milliseconds(0) : DisconnectGracePeriod);
+    finish(DisconnectGracePeriod);
 }
 
 void RequestExchange::onCallerDisconnected(ConnectionEnd::Cause cause)
@@ -130,6 +130,8 @@
     addToTrace("caller_left", m_request.route->name, {},
                toString(ConnectionEnd::Cause::CallerClosed).data());
     m_callerLeftEnd = Clock::now() + DisconnectGracePeriod;
+    // Calls that wait for a connection end as not sent.
+    abandonCalls(DisconnectGracePeriod);
     dropWaitingParts();
     if (m_isFinished)
         return;
@@ -143,6 +145,15 @@
         finishNow(Reason::Cancelled);
 }
 
+void RequestExchange::abandonCalls(Clock::duration gracePeriod)
+{
+    for (const Part &part : m_parts)
+        for (const Copy &copy : part.copies)
+            if (copy.isPending)
+                copy.target->channels.abandon(
+                    copy.call, std::chrono::duration_cast<milliseconds>(gracePeriod));
+}
+
 void RequestExchange::dropWaitingParts()
 {
     for (std::size_t i = 0; i < m_parts.size() && !m_isFinished; ++i) {
@@ -174,13 +185,12 @@
 {
     m_isFinished = true;
     m_timer.cancel();
-    for (const Part &part : m_parts) {
+    for (const Part &part : m_parts)
         if (part.isWaiting)
             m_state.directory.dropWaiting(part.service, m_forwarded);
-        for (const Copy &copy : part.copies)
-            if (copy.isPending)
-                copy.target->channels.abandon(copy.call, gracePeriod);
-    }
+    const Clock::duration untilCallerLeftEnd =
+        m_callerLeftEnd.value_or(Clock::time_point::max()) - Clock::now();
+    abandonCalls(std::clamp<Clock::duration>(untilCallerLeftEnd, milliseconds(0), gracePeriod));
     m_onFinished(shared_from_this());
 }
 
