Answer pipelined requests before a connection ends

By review: requests that a caller had sent behind another one were read and dropped when the VM closed the connection after the response (a planned stop), or when the caller had closed its sending side.

A response is now the last one of its connection only if no bytes of a further request have arrived. A caller that has left for good is noticed by the reset that its host sends for the first response.

Before: unittests "All requests that a caller has pipelined*" fails in the sections of a stop and of a closed sending side (the second request is never passed on). After: it passes.

--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -123,8 +123,8 @@
 void CallerConnection::onReadClosed()
 {
     m_isReadClosed = true;
-    m_isKeepAlive = false;
-    if (phase() == CallerPhase::Answering)
+    const bool hasWaitingRequest = phase() == CallerPhase::Receiving && !m_unparsed.empty();
+    if (phase() == CallerPhase::Answering || hasWaitingRequest)
         return;
     if (phase() == CallerPhase::Working && m_events.onCallerFinished)
         m_events.onCallerFinished(shared_from_this());
@@ -165,7 +165,10 @@
     m_isHeadRequest = request.method == "HEAD";
     m_isKeepAlive = request.keepAlive;
     m_hasSentContinue = false;
-    m_events.onRequest(shared_from_this(), std::move(request));
+    const CallerConnectionPtr self = shared_from_this();
+    m_events.onRequest(self, std::move(request));
+    if (m_isReadClosed && phase() == CallerPhase::Working)
+        onReadClosed();
 }
 
 void CallerConnection::reject(int status)
@@ -182,7 +185,9 @@
 {
     if (phase() != CallerPhase::Working)
         return;
-    m_isKeepAlive = m_isKeepAlive && !m_closesAfterResponse && response.keepAlive;
+    // Requests that have arrived already are answered first.
+    const bool isLast = (m_closesAfterResponse || m_isReadClosed) && m_unparsed.empty();
+    m_isKeepAlive = m_isKeepAlive && !isLast && response.keepAlive;
     response.keepAlive = m_isKeepAlive;
     std::string bytes;
     appendResponse(bytes, response, m_isHeadRequest);
@@ -218,7 +223,7 @@
 
 void CallerConnection::onWritten()
 {
-    if (!m_isKeepAlive) {
+    if (!m_isKeepAlive || (m_isReadClosed && m_unparsed.empty())) {
         linger(ConnectionEnd::Cause::LastAnswer);
         return;
     }
@@ -229,8 +234,11 @@
     enter(CallerPhase::Receiving);
     // Posted, because the owner may still be finishing the request that it has just responded to.
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->isReading())
-            self->parseBytes();
+        if (!self->isReading())
+            return;
+        self->parseBytes();
+        if (self->m_isReadClosed && self->isReading())
+            self->close(ConnectionEnd::Cause::CallerClosed);
     });
 }
 
--- a/test/unit/callerlistener_test.cpp
+++ b/test/unit/callerlistener_test.cpp
@@ -381,6 +381,40 @@
     }
 }
 
+TEST_CASE("All requests that a caller has pipelined are answered before the connection ends")
+{
+    ListenerFixture fixture(ListenerFixture::FinishedCallers::Served);
+    const std::string headers = " HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+    fixture.send("GET /one" + headers + "GET /two" + headers);
+    REQUIRE(fixture.runUntilRequests(1));
+
+    SECTION("when the VM closes connections after their responses")
+    {
+        fixture.listener().closeAfterResponses();
+    }
+    SECTION("when the caller has closed its sending side")
+    {
+        fixture.finishSending();
+        REQUIRE(fixture.run([&] { return fixture.finished() == 1; }));
+    }
+    SECTION("when the caller closes its sending side while the first response is written")
+    {
+        fixture.respond("first");
+        fixture.finishSending();
+        REQUIRE(fixture.runUntilRequests(2));
+        fixture.respond("second");
+        CHECK(fixture.waitUntilClosed());
+        CHECK(fixture.received().find("second") != std::string::npos);
+        return;
+    }
+    fixture.respond("first");
+    REQUIRE(fixture.runUntilRequests(2));
+    fixture.respond("second");
+    CHECK(fixture.waitUntilClosed());
+    CHECK(fixture.received().find("second") != std::string::npos);
+    CHECK(fixture.received().find("Connection: close") > fixture.received().find("first"));
+}
+
 TEST_CASE("An idle connection is closed after the idle timeout and not before")
 {
     ListenerFixture fixture;
