--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -74,6 +74,14 @@
     line += '"';
 }
 
+/// Returns whether an event is the start, stop or reload of the VM, its readiness, or the loss or
+/// return of the store.
+bool isAboutLifecycle(std::string_view event)
+{
+    return event.starts_with("vm_") || event.starts_with("settings_") || event == "store_lost"
+        || event == "store_regained";
+}
+
 } // namespace
 
 void startLogging(LogLevel level, LogLimits limits)
@@ -130,7 +138,7 @@
     if (started == nullptr || level < minimumLevel)
         return;
     std::string line = "event=" + std::string(event);
-    LogTopic topic = LogTopic::Vm;
+    LogTopic topic = isAboutLifecycle(event) ? LogTopic::Lifecycle : LogTopic::Vm;
     for (const auto &[key, value] : fields) {
         if (key == "request")
             topic = LogTopic::Request;
--- a/src/base/logbudget.cpp
+++ b/src/base/logbudget.cpp
@@ -12,7 +12,7 @@
 std::uint64_t shareOf(std::uint32_t limit, LogLevel level, LogTopic topic)
 {
     const std::uint64_t whole = limit;
-    if (level >= LogLevel::Warning)
+    if (level >= LogLevel::Warning || topic == LogTopic::Lifecycle)
         return 2 * whole;
     return topic == LogTopic::Request ? std::max<std::uint64_t>(whole * 3 / 4, 1) : whole;
 }
--- a/src/base/logbudget.h
+++ b/src/base/logbudget.h
@@ -9,9 +9,10 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
-/// What a log line is about: one request, or what the VM believes and does. The latter explains the
-/// former, so it must not be crowded out.
-enum class LogTopic : std::uint8_t { Request, Vm };
+/// What a log line is about: one request, what the VM believes and does, or a state of the VM as a
+/// whole, such as its start and stop. Each explains the ones before it, and must not be crowded out
+/// by them.
+enum class LogTopic : std::uint8_t { Request, Vm, Lifecycle };
 
 /// Limits on the volume of log output.
 struct LogLimits
@@ -24,9 +25,9 @@
 
 /// Decides which log lines are written, so that a log never exceeds its limits.
 ///
-/// Lines about requests may use three quarters of the limits, other lines all of them, and warnings
-/// and errors of either topic twice as much. Rejected lines do not count. Reads no clock. Not
-/// thread safe.
+/// Lines about requests may use three quarters of the limits, lines about the VM all of them, and
+/// lines about its lifecycle, warnings and errors twice as much. Rejected lines do not count. Reads
+/// no clock. Not thread safe.
 class LogBudget
 {
 public:
--- a/test/unit/logbudget_test.cpp
+++ b/test/unit/logbudget_test.cpp
@@ -30,6 +30,12 @@
             CHECK(fill(LogLevel::Warning, LogTopic::Vm, 10, start) == 8);
         }
     }
+    // Guards against a log in which a process seems to have ended without a stop.
+    SECTION("keeps room for the start and stop of the VM beside many lines about targets")
+    {
+        CHECK(fill(LogLevel::Info, LogTopic::Vm, 10, start) == 8);
+        CHECK(fill(LogLevel::Info, LogTopic::Lifecycle, 10, start) == 8);
+    }
     SECTION("limits bytes as well as lines, in the same shares")
     {
         CHECK(fill(LogLevel::Info, LogTopic::Request, 250, start) == 3);
