--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -111,7 +111,7 @@
 
 void CallerConnection::readAll()
 {
-    while (isReading() && readSocket()) {
+    while (isReading() && m_unparsed.size() < MaxUnparsedBytes && readSocket()) {
     }
 }
 
@@ -237,7 +237,7 @@
         if (!self->isReading())
             return;
         self->parseBytes();
-        if (self->m_isReadClosed && self->isReading())
+        if (self->m_isReadClosed && self->isReading() && self->m_unparsed.empty())
             self->close(ConnectionEnd::Cause::CallerClosed);
     });
 }
