Leave a request unread that crosses the end of an idle connection

A request that crossed the end of an idle connection was read and dropped while the connection lingered. Its caller may repeat a request that may run once only if it was not read, and on a slow link it waits for the end without a response.

Lingering keeps a reset from discarding a response that the caller is still receiving. A connection that has been idle for a second has delivered its response, and has been read to its end just before: it is now closed at once. In a planned stop, one that answered less than a second ago still lingers.

unittests "The timeouts of a caller's connection", section "count an idle connection as settled*". What remains: the request still gets no response, only the end of the connection, which HTTP/1.1 cannot avoid.

--- a/include/mangoshift/callertimeouts.h
+++ b/include/mangoshift/callertimeouts.h
@@ -58,6 +58,9 @@
     /// Returns the limits that apply to the connection now.
     const CallerLimits &limits() const { return m_granted; }
     Due check(Clock::time_point now) const;
+    /// Returns whether the connection has been idle for so long that the caller has received the
+    /// last response.
+    bool isSettled(Clock::time_point now) const;
 
 private:
     CallerLimits m_inForce;
--- a/src/core/callertimeouts.cpp
+++ b/src/core/callertimeouts.cpp
@@ -68,6 +68,11 @@
     }
 }
 
+bool CallerTimeouts::isSettled(Clock::time_point now) const
+{
+    return m_phase == CallerPhase::Idle && now - m_phaseSince >= LingerTime;
+}
+
 CallerTimeouts::Due CallerTimeouts::check(Clock::time_point now) const
 {
     const Clock::duration age = now - m_phaseSince;
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -256,11 +256,21 @@
         waitForData();
 }
 
+void CallerConnection::closeIdle(ConnectionEnd::Cause cause)
+{
+    // A request that crosses the end of the connection must not be read, so that its caller may
+    // repeat it. Only a response that the caller may still be receiving is worth more.
+    if (m_timeouts.isSettled(Clock::now()))
+        close(cause);
+    else
+        linger(cause);
+}
+
 bool CallerConnection::closeIfIdle()
 {
     readAll();
     if (phase() == CallerPhase::Idle)
-        linger(ConnectionEnd::Cause::Stop);
+        closeIdle(ConnectionEnd::Cause::Stop);
     return phase() == CallerPhase::Closing || phase() == CallerPhase::Closed;
 }
 
@@ -276,7 +286,7 @@
     case Due::Nothing:
         break;
     case Due::CloseIdle:
-        linger(ConnectionEnd::Cause::Idle);
+        closeIdle(ConnectionEnd::Cause::Idle);
         break;
     case Due::RejectOverdue:
         reject(httpstatus::RequestTimeout);
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -105,6 +105,8 @@
     void reject(int status);
     void write(const std::string &bytes);
     void onWritten();
+    /// Closes a connection from which everything has been read.
+    void closeIdle(ConnectionEnd::Cause cause);
     /// Closes the sending side, and the connection once the caller has closed it too.
     void linger(ConnectionEnd::Cause cause);
     CallerPhase phase() const { return m_timeouts.phase(); }
--- a/test/unit/callertimeouts_test.cpp
+++ b/test/unit/callertimeouts_test.cpp
@@ -67,6 +67,15 @@
         timeouts.enter(CallerPhase::Closing, Clock::now());
         CHECK(dueAfter(1s) == Due::Abort);
     }
+    SECTION("count an idle connection as settled once its last response has surely arrived")
+    {
+        CHECK_FALSE(timeouts.isSettled(Clock::now()));
+        clock.advance(1s);
+        CHECK(timeouts.isSettled(Clock::now()));
+        timeouts.enter(CallerPhase::Receiving, Clock::now());
+        clock.advance(1s);
+        CHECK_FALSE(timeouts.isSettled(Clock::now()));
+    }
     SECTION("keep the longest idle limit that was in force since the connection became idle")
     {
         timeouts.setLimits(limitsOf(2s, 3s, 1000));
