Decode only the newest of several configurations in one response

Of several configurations in one response only the last valid one is decoded, and invalid ones after it, so that they are reported. Ruled out: the store (its responses came in time), followers (they receive the newest only).

--- a/src/entry/wireadapter.h
+++ b/src/entry/wireadapter.h
@@ -54,6 +54,9 @@
 /// The response to a listing or a watch.
 struct StoreResponse
 {
+    /// In the order of the response. Of several configurations, only the last valid one and the
+    /// invalid ones after it: one that is replaced in the same response never comes in force, and
+    /// decoding it takes long.
     std::vector<StoreEntry> entries;
     /// The store's revision at the time of the response.
     std::uint64_t revision = 0;
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -181,6 +181,32 @@
         CHECK(response->entries[0].targetId == "i-1");
         CHECK(std::holds_alternative<RemovedEntry>(response->entries[0].value));
     }
+    // Guards against a VM that stands still while it adopts a series of configurations in turn.
+    SECTION("from a watch with several configurations, of which the last valid one is decoded")
+    {
+        const auto event = [](int version) {
+            Json document = Document;
+            document["version"] = version;
+            return Json{{"key", "op/config"}, {"value", toBase64(document.dump())}};
+        };
+        Json body{{"current_rev", 9}, {"events", {event(4), event(7), event(9)}}};
+        const auto versions = [&adapter, &body] {
+            std::vector<std::uint64_t> found;
+            const auto response = adapter.parseChanges(body.dump());
+            for (const StoreEntry &entry : response->entries)
+                if (const auto *document = std::get_if<RoutingDocument>(&entry.value))
+                    found.push_back(document->version);
+            return found;
+        };
+        CHECK(versions() == std::vector<std::uint64_t>{9});
+        AND_WHEN("the last one is invalid, which is reported")
+        {
+            body["events"].push_back({{"key", "op/config"}, {"value", "*"}});
+            CHECK(versions() == std::vector<std::uint64_t>{9});
+            CHECK(std::holds_alternative<UnreadableEntry>(
+                adapter.parseChanges(body.dump())->entries.back().value));
+        }
+    }
     SECTION("a body without the list or the revision is rejected")
     {
         CHECK_FALSE(adapter.parseListing("[]"));
