Read the platform with bounds on bytes and time

What was seen: a platform whose answers never end, in a head or in a body, ended the VM that read them (std::bad_alloc), and with it the requests of all its callers. Cause: PlatformWatcher read through httplib's client, which bounds neither head nor body, and whose time limit is for each read, so that a trickle never ended either. Ruled out: httplib's own limits, as its client has none for a response; a receiver that stops at a size, as it comes after the head. Change: HttpClient, a blocking client on Asio and HttpParser with bounds on head, body, connecting and the whole answer, which another thread can abort for good. It reuses its connection and never sends a request twice. What it rejects is logged as platform_answer_rejected and counted in mangoshift_platform_answers_rejected_total; the configuration in force stays, and the next document is adopted.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -45,6 +45,8 @@
                             .Add({}))
     , platformReads(
           counters(*m_registry, "mangoshift_platform_reads_total", "Reads of the platform").Add({}))
+    , platformAnswersRejected(counters(*m_registry, "mangoshift_platform_answers_rejected_total",
+                                       "Responses of the platform that were rejected"))
     , controlBytes(counters(*m_registry, "mangoshift_control_bytes_total",
                             "Bytes of membership and configuration"))
     , heartbeats(counters(*m_registry, "mangoshift_heartbeats_total", "Heartbeats"))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -47,6 +47,9 @@
     prometheus::Counter &documentsRejected;
     /// Reads of the platform's configuration service; a long-polling watch counts as one read.
     prometheus::Counter &platformReads;
+    /// Responses of the platform that were rejected, by `why` (`too_slow`, `malformed`,
+    /// `headers_too_large`, `body_too_large`).
+    prometheus::Family<prometheus::Counter> &platformAnswersRejected;
     /// Bytes of heartbeats, of membership and configuration frames, and of the platform's
     /// responses, by `direction` (`in`, `out`) and `channel` (`heartbeat`, `peer`, `platform`).
     prometheus::Family<prometheus::Counter> &controlBytes;
--- a/src/duties/platformwatcher.cpp
+++ b/src/duties/platformwatcher.cpp
@@ -3,16 +3,21 @@
 #include <algorithm>
 #include <utility>
 
-#include <httplib.h>
+#include "base/log.h"
+#include "config/documentjson.h"
 
 namespace mangoshift {
 
 namespace {
 
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
-/// Exceeds the 10 s for which the platform holds a watch request by little, because a lost response
-/// is noticed only after this time and a document has to be in force within 13 s.
-constexpr std::chrono::seconds WatchTimeout{11};
+/// The maximum time of a whole read. Exceeds the 10 s for which the platform holds a watch request
+/// by little, because a lost response is noticed only after this time and a document has to be in
+/// force within 13 s.
+constexpr std::chrono::seconds ReadTimeout{11};
+/// The maximum size of a response, in bytes. Four times the longest valid document, so that a
+/// longer one is still reported as a document; the list of VMs has some 200 bytes for each VM.
+constexpr HttpSizeLimits ResponseLimits{16U << 10U, 4 * MaxDocumentBytes};
 /// The minimum interval between two reads of the configuration.
 constexpr std::chrono::milliseconds MinReadInterval{100};
 constexpr std::chrono::milliseconds InitialRetryDelay{250};
@@ -21,7 +26,6 @@
 constexpr std::chrono::milliseconds MaxPlanWait{1000};
 /// How long a delivered document may wait for its check before it is read again.
 constexpr std::chrono::milliseconds CheckTimeout{2000};
-constexpr std::chrono::milliseconds StopRetryInterval{10};
 /// The estimated size of the status line and headers of a response, in bytes.
 constexpr std::size_t ResponseOverheadBytes = 150;
 
@@ -32,32 +36,14 @@
 
 } // namespace
 
-/// An HTTP connection to the platform whose requests another thread can abort.
-class PlatformWatcher::Reader
-{
-public:
-    explicit Reader(const Address &address)
-        : m_client(address.ip, address.port)
-    {
-        m_client.set_connection_timeout(ConnectTimeout);
-        m_client.set_read_timeout(WatchTimeout);
-    }
-
-    httplib::Result get(const std::string &path) { return m_client.Get(path.c_str()); }
-    void stop() { m_client.stop(); }
-
-private:
-    httplib::Client m_client;
-};
-
 PlatformWatcher::PlatformWatcher(Address address, PlatformSinks sinks, Metrics &metrics)
     : m_address(std::move(address))
     , m_sinks(std::move(sinks))
     , m_metrics(metrics)
     , m_bytesIn(metrics.controlBytes.Add({{"direction", "in"}, {"channel", "platform"}}))
     , m_random(std::random_device{}())
-    , m_configReader(std::make_unique<Reader>(m_address))
-    , m_listReader(std::make_unique<Reader>(m_address))
+    , m_configReader(m_address, {ResponseLimits, ConnectTimeout, ReadTimeout})
+    , m_listReader(m_address, {ResponseLimits, ConnectTimeout, ReadTimeout})
 {
 }
 
@@ -68,37 +54,19 @@
 
 void PlatformWatcher::start()
 {
-    m_runningThreads = 2;
-    m_configThread = std::thread([this] {
-        watchConfig();
-        onThreadFinished();
-    });
-    m_listThread = std::thread([this] {
-        pollVmLists();
-        onThreadFinished();
-    });
-}
-
-void PlatformWatcher::onThreadFinished()
-{
-    const std::lock_guard lock(m_mutex);
-    --m_runningThreads;
-    m_wake.notify_all();
+    m_configThread = std::thread([this] { watchConfig(); });
+    m_listThread = std::thread([this] { pollVmLists(); });
 }
 
 void PlatformWatcher::stop()
 {
     {
-        std::unique_lock lock(m_mutex);
+        const std::lock_guard lock(m_mutex);
         m_isStopping = true;
-        m_wake.notify_all();
-        // Repeated, because a request that is just starting does not notice the first stop.
-        while (m_runningThreads > 0) {
-            m_configReader->stop();
-            m_listReader->stop();
-            m_wake.wait_for(lock, StopRetryInterval);
-        }
     }
+    m_wake.notify_all();
+    m_configReader.abort();
+    m_listReader.abort();
     if (m_configThread.joinable())
         m_configThread.join();
     if (m_listThread.joinable())
@@ -139,7 +107,7 @@
             const std::lock_guard lock(m_mutex);
             afterVersion = m_plan.afterVersion;
         }
-        hasFailed = !readConfig(*m_configReader, afterVersion, deliveredVersion);
+        hasFailed = !readConfig(afterVersion, deliveredVersion);
         retryDelay = hasFailed ? std::min(retryDelay * 2, MaxRetryDelay) : InitialRetryDelay;
         jitterFactor = randomJitterFactor();
         lastReadAt = Clock::now();
@@ -157,7 +125,7 @@
         return hasFailed ? nextReadAt : lastReadAt + scaled(plan.listInterval, jitterFactor);
     };
     while (waitUntil(dueTime)) {
-        hasFailed = !readVmList(*m_listReader);
+        hasFailed = !readVmList();
         retryDelay = hasFailed ? std::min(retryDelay * 2, MaxRetryDelay) : InitialRetryDelay;
         jitterFactor = randomJitterFactor();
         lastReadAt = Clock::now();
@@ -165,37 +133,49 @@
     }
 }
 
-bool PlatformWatcher::readConfig(Reader &reader, ConfigVersion afterVersion,
-                                 ConfigVersion &deliveredVersion)
+bool PlatformWatcher::readConfig(ConfigVersion afterVersion, ConfigVersion &deliveredVersion)
 {
-    m_metrics.platformReads.Increment();
-    const auto result = reader.get("/v1/config?watch=1&after=" + std::to_string(afterVersion));
-    if (!result)
+    auto response =
+        read(m_configReader, "/v1/config?watch=1&after=" + std::to_string(afterVersion));
+    if (!response)
         return false;
-    m_bytesIn.Increment(static_cast<double>(result->body.size() + ResponseOverheadBytes));
-    if (result->status != 200)
-        return result->status == 304;
-    const ConfigVersion version =
-        std::strtoull(result->get_header_value("Config-Version").c_str(), nullptr, 10);
+    if (response->status != 200)
+        return response->status == 304;
+    const std::string versionText(response->headers.value("config-version"));
+    const ConfigVersion version = std::strtoull(versionText.c_str(), nullptr, 10);
     deliveredVersion = version;
-    m_sinks.onDocument(version, result->body);
+    m_sinks.onDocument(version, std::move(response->body));
     return true;
 }
 
-bool PlatformWatcher::readVmList(Reader &reader)
+bool PlatformWatcher::readVmList()
 {
     const Clock::time_point requestedAt = Clock::now();
-    m_metrics.platformReads.Increment();
-    const auto result = reader.get("/v1/vms");
-    if (!result)
-        return false;
-    m_bytesIn.Increment(static_cast<double>(result->body.size() + ResponseOverheadBytes));
-    if (result->status != 200)
+    auto response = read(m_listReader, "/v1/vms");
+    if (!response || response->status != 200)
         return false;
-    m_sinks.onVmList(result->body, requestedAt);
+    m_sinks.onVmList(std::move(response->body), requestedAt);
     return true;
 }
 
+std::optional<HttpResponse> PlatformWatcher::read(HttpClient &reader, const std::string &path)
+{
+    m_metrics.platformReads.Increment();
+    HttpClient::Result result = reader.get(path);
+    if (result.end == HttpClient::End::Responded) {
+        m_bytesIn.Increment(
+            static_cast<double>(result.response.body.size() + ResponseOverheadBytes));
+        return std::move(result.response);
+    }
+    // Reads that fail are repeated ever more rarely, which also bounds these lines.
+    if (const std::string why(rejectionReason(result.end)); !why.empty()) {
+        m_metrics.platformAnswersRejected.Add({{"why", why}}).Increment();
+        logEvent(LogLevel::Warning, "platform_answer_rejected",
+                 {{"path", path.substr(0, path.find('?'))}, {"why", why}});
+    }
+    return std::nullopt;
+}
+
 bool PlatformWatcher::waitUntil(
     const std::function<Clock::time_point(const PlatformPlan &)> &dueTime)
 {
--- a/src/duties/platformwatcher.h
+++ b/src/duties/platformwatcher.h
@@ -3,14 +3,15 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
-#include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
 
 #include "base/address.h"
 #include "base/metrics.h"
+#include "http/httpclient.h"
 #include "mangoshift/clock.h"
 #include "mangoshift/document.h"
 
@@ -38,8 +39,9 @@
     std::function<void(std::string, Clock::time_point requestedAt)> onVmList;
 };
 
-/// Reads the platform's configuration and its list of VMs, each on its own thread, because the HTTP
-/// library blocks. Failed reads are retried with exponential backoff and jitter, except that a VM
+/// Reads the platform's configuration and its list of VMs, each on its own thread, because its
+/// client blocks. A response that is too large, too slow or not HTTP is rejected, logged and
+/// counted. Failed reads are retried with exponential backoff and jitter, except that a VM
 /// that does not watch reads the configuration again only after `PlatformPlan::configInterval`.
 class PlatformWatcher
 {
@@ -55,15 +57,14 @@
     void setPlan(const PlatformPlan &plan);
 
 private:
-    class Reader;
-
     void watchConfig();
     void pollVmLists();
-    void onThreadFinished();
     /// Reads the configuration. Returns false on failure. Sets `deliveredVersion` to the version of
     /// a document that was delivered to the sink.
-    bool readConfig(Reader &reader, ConfigVersion afterVersion, ConfigVersion &deliveredVersion);
-    bool readVmList(Reader &reader);
+    bool readConfig(ConfigVersion afterVersion, ConfigVersion &deliveredVersion);
+    bool readVmList();
+    /// Returns the response to a GET, of any status, or no value if there is none.
+    std::optional<HttpResponse> read(HttpClient &reader, const std::string &path);
     /// Waits until the time that `dueTime` returns for the current plan. Returns false if the
     /// watcher is stopping.
     bool waitUntil(const std::function<Clock::time_point(const PlatformPlan &)> &dueTime);
@@ -77,10 +78,9 @@
     std::condition_variable m_wake;
     PlatformPlan m_plan;
     bool m_isStopping = false;
-    int m_runningThreads = 0;
     std::mt19937 m_random;
-    std::unique_ptr<Reader> m_configReader;
-    std::unique_ptr<Reader> m_listReader;
+    HttpClient m_configReader;
+    HttpClient m_listReader;
     std::thread m_configThread;
     std::thread m_listThread;
 };
--- a/test/system/deployment.h
+++ b/test/system/deployment.h
@@ -69,6 +69,8 @@
     Process &vm(const std::string &name) { return m_vms.at(name); }
     /// Starts a VM again. Kills its process if that is still running.
     void restartVm(const std::string &name);
+    /// Kills the platform, so that a test can listen at its address.
+    void stopPlatform() { m_platform.clear(); }
     /// Restarts the platform; its document then has the version `version`.
     void restartPlatform(std::uint64_t version);
     const std::string &callerAddress(const std::string &vm) const
--- /dev/null
+++ b/test/system/endless_test.cpp
@@ -0,0 +1,132 @@
+#include <map>
+#include <memory>
+#include <sstream>
+
+#include <asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "app/command.h"
+#include "app/files.h"
+#include "deployment.h"
+#include "endless.h"
+#include "rawconnection.h"
+#include "wire/framecodec.h"
+
+using namespace mangoshift;
+using namespace mangoshift::testing;
+using Json = nlohmann::json;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// What a VM may need more than before, while it receives bytes without an end.
+constexpr std::size_t MemoryAllowance = 64U << 20U;
+
+/// The Sundarban deployment and the memory that its VMs had needed when the test began.
+class WatchedDeployment
+{
+public:
+    WatchedDeployment()
+        : deployment("sundarban")
+    {
+        for (const std::string &vm : deployment.vmNames())
+            m_memory[vm] = peakMemory(deployment.vm(vm).pid());
+    }
+
+    /// Checks that every VM still runs, answers whole and has needed little more memory.
+    void requireUnharmed()
+    {
+        for (const std::string &vm : deployment.vmNames()) {
+            INFO(vm);
+            CHECK_FALSE(deployment.vm(vm).hasEnded());
+            CHECK(eventually([&] {
+                const auto response = deployment.query(vm, "pass-lookup");
+                const Json answer = Json::parse(response.body, nullptr, false);
+                return response.status == 200 && answer["complete"] == true;
+            }));
+            CHECK(peakMemory(deployment.vm(vm).pid()) < m_memory[vm] + MemoryAllowance);
+        }
+    }
+
+    /// Returns the sum of a counter of a VM over the label values that contain `label`.
+    double counter(const std::string &vm, const std::string &name, const std::string &label)
+    {
+        std::istringstream lines(deployment.get(deployment.operatorAddress(vm), "/metrics").body);
+        double sum = 0;
+        for (std::string line; std::getline(lines, line);)
+            if (line.rfind(name, 0) == 0 && line.find(label) != std::string::npos)
+                sum += std::stod(line.substr(line.rfind(' ')));
+        return sum;
+    }
+
+    bool allVmsRejectedAnswers(const std::string &why)
+    {
+        const auto names = deployment.vmNames();
+        return std::all_of(names.begin(), names.end(), [&](const std::string &vm) {
+            return counter(vm, "mangoshift_platform_answers_rejected_total", why) >= 2;
+        });
+    }
+
+    bool allVmsHaveVersion(std::uint64_t version)
+    {
+        const auto names = deployment.vmNames();
+        return std::all_of(names.begin(), names.end(), [&](const std::string &vm) {
+            return counter(vm, "mangoshift_config_version", "") == static_cast<double>(version);
+        });
+    }
+
+    Address settingsAddress(const std::string &vm, const std::string &field) const
+    {
+        const auto text = readFile(deployment.folder() + "/settings/" + vm + ".json");
+        return parseAddress(Json::parse(*text)[field]).value();
+    }
+
+    Deployment deployment;
+
+private:
+    std::map<std::string, std::size_t> m_memory;
+};
+
+} // namespace
+
+TEST_CASE("A platform whose answers never end")
+{
+    GIVEN("a deployment whose platform is replaced by a server that pours")
+    {
+        WatchedDeployment watched;
+        Deployment &deployment = watched.deployment;
+        const Address platform = parseAddress(deployment.platformAddress()).value();
+        deployment.stopPlatform();
+
+        SECTION("in any part of an answer harms no VM, and the next document is adopted")
+        {
+            for (const Endless &bytes : endlessResponses()) {
+                INFO(bytes.begin << " / " << bytes.repeated);
+                const EndlessServer server(platform, bytes);
+                CHECK(eventually([&] { return server.mostPoured() > 0; }));
+            }
+            {
+                const EndlessServer server(platform, endlessResponses().back());
+                CHECK(eventually([&] { return watched.allVmsRejectedAnswers("_too_large"); }));
+            }
+            watched.requireUnharmed();
+            deployment.restartPlatform(5);
+            CHECK(eventually([&] { return watched.allVmsHaveVersion(5); }));
+        }
+
+        SECTION("by trickling is given up after a while, and the next document is adopted")
+        {
+            {
+                const EndlessServer server(platform,
+                                           {"HTTP/1.1 200 OK\r\n", "a: b\r\n", milliseconds(100)});
+                CHECK(eventually([&] { return watched.allVmsRejectedAnswers("too_slow"); },
+                                 std::chrono::seconds(60)));
+            }
+            watched.requireUnharmed();
+            deployment.restartPlatform(5);
+            CHECK(eventually([&] { return watched.allVmsHaveVersion(5); }));
+        }
+    }
+}
