Bound what is read for a request of callers and operators

What was seen: a caller that sent a request line without an end was read for all of the 128 MiB that a test pours, at the callers' port of serve; the operators' port of both programs reads the same way. Cause: httplib's server compares the length of a line with its limit only once the line has ended, applies its limit on bodies only to those with a length, and decodes encoded bodies to any size. Change: CallerStream counts the bytes of the head and of the body and the time of each request, and reads no more than its limits; CallerServer then closes the connection, also after a head that could not be read, since it is unknown where the next request begins (a caller that sent empty lines got a 400 for each, and kept its thread for as long as it liked). A body with Content-Encoding is refused with 415. ReportDuty uses CallerServer too. Before a connection is closed, at most 1 MiB is still drained.

--- a/src/duties/callerduty.cpp
+++ b/src/duties/callerduty.cpp
@@ -16,6 +16,8 @@
 
 /// The largest request body that is accepted, in bytes.
 constexpr std::size_t MaxBodyBytes = 1U << 20U;
+/// Chunks may make a body longer than what it holds.
+constexpr RequestReadLimits ReadLimits{64U << 10U, 2 * MaxBodyBytes, std::chrono::seconds(10)};
 /// How long past a query's deadline the thread that serves the caller waits for the query duty.
 constexpr std::chrono::milliseconds AnswerGracePeriod{500};
 constexpr std::chrono::seconds KeepAliveTimeout{5};
@@ -91,6 +93,8 @@
         return {413, "body", "must not be over " + std::to_string(MaxBodyBytes) + " bytes"};
     case 414:
         return {414, "path", "is too long"};
+    case 415:
+        return {415, "content-encoding", "is not supported; the body must not be encoded"};
     default:
         return {status, {}, "the request cannot be read"};
     }
@@ -106,7 +110,7 @@
     , m_metrics(metrics)
     , m_admission(admissionCapacity(settings), incarnation, settings.isAdmissionEnabled)
     , m_filters(queryFilters(m_admission))
-    , m_server(std::make_unique<CallerServer>())
+    , m_server(std::make_unique<CallerServer>(ReadLimits))
 {
 }
 
--- a/src/duties/callerserver.cpp
+++ b/src/duties/callerserver.cpp
@@ -13,7 +13,6 @@
 
 #include "base/log.h"
 #include "duties/callerpool.h"
-#include "duties/callerstream.h"
 
 namespace mangoshift {
 
@@ -31,6 +30,7 @@
 constexpr milliseconds QueuePollInterval{5};
 /// How long a new connection may take to send its first request while the VM stops.
 constexpr milliseconds FirstRequestTimeout{500};
+constexpr int UnsupportedMediaType = 415;
 
 /// Makes the kernel drop the SYN packet of new connections. Handshakes in progress can finish and
 /// be accepted before the socket is closed. Later callers find the port closed when they retransmit
@@ -53,7 +53,7 @@
 }
 
 /// The connection that the current thread serves, or null.
-thread_local const CallerStream *servedStream = nullptr;
+thread_local CallerStream *servedStream = nullptr;
 
 bool hasPendingConnection(socket_t listeningSocket)
 {
@@ -63,11 +63,19 @@
 
 } // namespace
 
-CallerServer::CallerServer()
-    : m_stopEvent(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+CallerServer::CallerServer(const RequestReadLimits &limits)
+    : m_limits(limits)
+    , m_stopEvent(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
     if (m_stopEvent < 0)
         throw std::system_error(errno, std::generic_category(), "eventfd");
+    set_pre_routing_handler([](const httplib::Request &request, httplib::Response &response) {
+        if (!request.has_header("Content-Encoding"))
+            return HandlerResponse::Unhandled;
+        servedStream->stopReading();
+        response.status = UnsupportedMediaType;
+        return HandlerResponse::Handled;
+    });
 }
 
 CallerServer::~CallerServer()
@@ -93,6 +101,11 @@
 {
     if (svr_sock_ != INVALID_SOCKET)
         waitForEmptyAcceptQueue();
+    stopAccepting();
+}
+
+void CallerServer::stopAccepting()
+{
     ::eventfd_write(m_stopEvent, 1);
     stop();
 }
@@ -114,14 +127,15 @@
 bool CallerServer::process_and_close_socket(socket_t socket)
 {
     using std::chrono::seconds;
-    CallerStream stream(socket, seconds(read_timeout_sec_), seconds(write_timeout_sec_));
+    CallerStream stream(socket, seconds(read_timeout_sec_), seconds(write_timeout_sec_), m_limits);
     servedStream = &stream;
     bool isOpen = true;
     for (bool isFirst = true; isOpen && waitForRequest(stream, isFirst); isFirst = false) {
         const bool isLast = m_isDraining || CallerPool::isRefusing();
         bool isClosedByCaller = false;
+        stream.startRequest();
         isOpen = process_request(stream, isLast, isClosedByCaller, nullptr) && !isLast
-            && !isClosedByCaller;
+            && !isClosedByCaller && stream.hasReadHead() && !stream.hasStoppedReading();
     }
     servedStream = nullptr;
     return true;
--- a/src/duties/callerserver.h
+++ b/src/duties/callerserver.h
@@ -6,18 +6,19 @@
 #include <httplib.h>
 
 #include "base/address.h"
+#include "duties/callerstream.h"
 #include "mangoshift/clock.h"
 
 namespace mangoshift {
 
-class CallerStream;
-
-/// The HTTP server for callers. The HTTP library reads and routes the requests; this class decides
-/// when connections are accepted and closed, so that stopping interrupts no request.
+/// The HTTP server for callers and operators. The HTTP library reads and routes the requests; this
+/// class bounds what is read for each, and decides when connections are accepted and closed, so
+/// that stopping interrupts no request. Encoded bodies are refused with 415, because a short one
+/// may become a long one.
 class CallerServer : public httplib::Server
 {
 public:
-    CallerServer();
+    explicit CallerServer(const RequestReadLimits &limits);
     ~CallerServer() override;
     CallerServer(const CallerServer &) = delete;
     CallerServer &operator=(const CallerServer &) = delete;
@@ -36,12 +37,16 @@
     /// established, then closes idle connections. `listen_after_bind` returns once every request
     /// has its response.
     void stopGracefully();
+    /// Closes the listening socket and the idle connections. `listen_after_bind` returns once every
+    /// request has its response.
+    void stopAccepting();
 
 private:
     bool process_and_close_socket(socket_t socket) override;
     bool waitForRequest(const CallerStream &stream, bool isFirst) const;
     void waitForEmptyAcceptQueue() const;
 
+    RequestReadLimits m_limits;
     std::atomic<bool> m_isDraining{false};
     /// An eventfd that becomes readable when idle connections have to close.
     int m_stopEvent;
--- a/src/duties/callerstream.cpp
+++ b/src/duties/callerstream.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <string_view>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -14,6 +15,10 @@
 
 namespace {
 
+/// What is still read from a connection before it is closed, in bytes.
+constexpr std::size_t MaxDrainedBytes = 1U << 20U;
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
 void formatEndpoint(const sockaddr_storage &address, std::string &ip, int &port)
 {
     std::array<char, INET6_ADDRSTRLEN> text{};
@@ -32,23 +37,61 @@
 } // namespace
 
 CallerStream::CallerStream(socket_t socket, std::chrono::milliseconds readTimeout,
-                           std::chrono::milliseconds writeTimeout)
+                           std::chrono::milliseconds writeTimeout, const RequestReadLimits &limits)
     : m_socket(socket)
     , m_readTimeout(readTimeout)
     , m_writeTimeout(writeTimeout)
+    , m_limits(limits)
 {
+    startRequest();
 }
 
 CallerStream::~CallerStream()
 {
     // Closing a socket with unread bytes makes the kernel reset the connection, and the caller may
-    // then lose the response.
+    // then lose the response. A caller that sends without an end loses it.
     ::shutdown(m_socket, SHUT_WR);
-    while (::recv(m_socket, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT) > 0) {
-    }
+    std::size_t drained = 0;
+    ssize_t size = 0;
+    do {
+        size = ::recv(m_socket, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT);
+        drained += static_cast<std::size_t>(std::max<ssize_t>(size, 0));
+    } while (size > 0 && drained < MaxDrainedBytes);
     ::close(m_socket);
 }
 
+void CallerStream::startRequest()
+{
+    m_requestDeadline = Clock::now() + m_limits.time;
+    m_headBytes = 0;
+    m_bodyBytes = 0;
+    m_matchedHeadEnd = 0;
+    m_hasStoppedReading = false;
+}
+
+bool CallerStream::hasReadHead() const
+{
+    return m_matchedHeadEnd == HeadEnd.size();
+}
+
+bool CallerStream::isWithinLimits() const
+{
+    return m_headBytes <= m_limits.headBytes && m_bodyBytes <= m_limits.bodyBytes;
+}
+
+void CallerStream::countBytes(const char *bytes, std::size_t size)
+{
+    std::size_t i = 0;
+    for (; i < size && m_matchedHeadEnd < HeadEnd.size(); ++i) {
+        ++m_headBytes;
+        if (bytes[i] == HeadEnd[m_matchedHeadEnd])
+            ++m_matchedHeadEnd;
+        else
+            m_matchedHeadEnd = bytes[i] == HeadEnd.front() ? 1 : 0;
+    }
+    m_bodyBytes += size - i;
+}
+
 std::chrono::milliseconds CallerStream::timeSinceLastData() const
 {
     tcp_info info{};
@@ -70,7 +113,13 @@
 
 bool CallerStream::is_readable() const
 {
-    return hasBufferedBytes() || isReadyFor(POLLIN, m_readTimeout);
+    if (hasBufferedBytes())
+        return true;
+    // Bytes that have arrived are read even after the deadline: the process may have been paused.
+    const auto timeLeft = std::max(
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_requestDeadline - Clock::now()),
+        std::chrono::milliseconds(0));
+    return isReadyFor(POLLIN, std::min(timeLeft, m_readTimeout));
 }
 
 bool CallerStream::is_writable() const
@@ -80,8 +129,12 @@
 
 ssize_t CallerStream::read(char *bytes, size_t size)
 {
+    m_hasStoppedReading = m_hasStoppedReading || !isWithinLimits();
+    if (m_hasStoppedReading)
+        return -1;
     if (!hasBufferedBytes()) {
-        if (!is_readable())
+        m_hasStoppedReading = !is_readable();
+        if (m_hasStoppedReading)
             return -1;
         const ssize_t received = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
         if (received <= 0)
@@ -92,6 +145,7 @@
     const std::size_t copied = std::min(size, m_end - m_begin);
     std::copy_n(m_buffer.data() + m_begin, copied, bytes);
     m_begin += copied;
+    countBytes(bytes, copied);
     return static_cast<ssize_t>(copied);
 }
 
--- a/src/duties/reportduty.cpp
+++ b/src/duties/reportduty.cpp
@@ -5,11 +5,15 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "duties/callerserver.h"
+
 namespace mangoshift {
 
 namespace {
 
 constexpr std::size_t ThreadCount = 4;
+/// The length of the accept queue, in connections.
+constexpr int ListenBacklog = 64;
 /// How long a duty may take to return its part of the state dump.
 constexpr std::chrono::seconds StateTimeout{2};
 
@@ -19,7 +23,7 @@
     : m_address(std::move(address))
     , m_sources(std::move(sources))
     , m_metrics(metrics)
-    , m_server(std::make_unique<httplib::Server>())
+    , m_server(std::make_unique<CallerServer>(RequestReadLimits{}))
 {
 }
 
@@ -30,7 +34,8 @@
 
 bool ReportDuty::start()
 {
-    httplib::Server &server = *m_server;
+    CallerServer &server = *m_server;
+    server.set_payload_max_length(RequestReadLimits{}.bodyBytes);
     server.new_task_queue = [] { return new httplib::ThreadPool(ThreadCount); };
     server.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
         response.set_content("ok\n", "text/plain");
@@ -46,7 +51,7 @@
     server.Get("/state", [this](const httplib::Request &, httplib::Response &response) {
         response.set_content(stateJson(), "application/json");
     });
-    if (!server.bind_to_port(m_address.ip.c_str(), m_address.port))
+    if (!server.listenOn(m_address, ListenBacklog))
         return false;
     m_thread = std::thread([this] { m_server->listen_after_bind(); });
     return true;
@@ -54,7 +59,7 @@
 
 void ReportDuty::stop()
 {
-    m_server->stop();
+    m_server->stopAccepting();
     if (m_thread.joinable())
         m_thread.join();
 }
--- a/src/duties/reportduty.h
+++ b/src/duties/reportduty.h
@@ -11,12 +11,10 @@
 #include "base/metrics.h"
 #include "duties/messages.h"
 
-namespace httplib {
-class Server;
-} // namespace httplib
-
 namespace mangoshift {
 
+class CallerServer;
+
 /// Requests one duty's part of the state dump. Returns false if the duty's ring is full.
 using StateSource = std::function<bool(StateRequest)>;
 
@@ -46,7 +44,7 @@
     Address m_address;
     ReportSources m_sources;
     const Metrics &m_metrics;
-    std::unique_ptr<httplib::Server> m_server;
+    std::unique_ptr<CallerServer> m_server;
     std::thread m_thread;
 };
 
--- a/test/system/endless_test.cpp
+++ b/test/system/endless_test.cpp
@@ -89,6 +89,13 @@
     std::map<std::string, std::size_t> m_memory;
 };
 
+tcp::socket connectTo(asio::io_context &io, const Address &address)
+{
+    tcp::socket socket(io);
+    socket.connect({asio::ip::make_address(address.ip), address.port});
+    return socket;
+}
+
 } // namespace
 
 TEST_CASE("A platform whose answers never end")
@@ -130,3 +137,54 @@
         }
     }
 }
+
+TEST_CASE("Callers and operators whose requests never end harm no VM")
+{
+    WatchedDeployment watched;
+    const std::string vm = watched.deployment.vmNames().front();
+    const std::string post = "POST /v1/query/pass-lookup HTTP/1.1\r\nHost: vm\r\n";
+    const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Endless> requests{
+        {"", "\r\n"},
+        {"", "GET "},
+        {"POST /v1/query/", "pass-lookup"},
+        {post, "Name: value\r\n"},
+        {post + "Name: ", "value"},
+        {post, "name"},
+        {post + "Content-Length: 99999999999\r\n\r\n", "body"},
+        {post
+             + "Content-Type: multipart/form-data; boundary=x\r\nContent-Length: 99999999999\r\n"
+               "\r\n--x\r\n",
+         "Name: value\r\n"},
+        {chunked, "4\r\nbody\r\n"},
+        {chunked + "4;", "extension"},
+        {chunked, "0"}};
+    for (const char *field : {"caller_address", "operator_address"}) {
+        const Address address = watched.settingsAddress(vm, field);
+        for (const Endless &bytes : requests) {
+            INFO(field << ": " << bytes.begin << " / " << bytes.repeated);
+            asio::io_context io;
+            tcp::socket socket = connectTo(io, address);
+            CHECK(pour(socket, bytes) < MaxPouredBytes);
+        }
+        INFO(field << ", a trickle");
+        asio::io_context io;
+        tcp::socket socket = connectTo(io, address);
+        CHECK(pour(socket, {post, "a: b\r\n", milliseconds(100)}) < MaxPouredBytes);
+    }
+    watched.requireUnharmed();
+}
+
+TEST_CASE("An encoded request is refused, since its body could become any size")
+{
+    WatchedDeployment watched;
+    const std::string vm = watched.deployment.vmNames().front();
+    // A megabyte of zeros, compressed twenty times over in one stream, would be taken as a body.
+    for (const char *field : {"caller_address", "operator_address"}) {
+        RawConnection connection(watched.settingsAddress(vm, field));
+        connection.send("POST /v1/query/pass-lookup HTTP/1.1\r\nHost: vm\r\nContent-Encoding: gzip"
+                        "\r\nContent-Length: 4\r\n\r\nbody");
+        CHECK(connection.readToEnd().rfind("HTTP/1.1 415 ", 0) == 0);
+    }
+    watched.requireUnharmed();
+}
