Bound what a VM holds for a link, in bytes and in time

What was seen: 200 links that announced a frame of 8 MiB and sent six bytes of it made a VM grow from 46 MB to 1,725 MB, and stayed open. One link that poured 128 MiB of valid frames of 4 MB made it 191 MB. Cause: a link reserved the length that a frame only claims and waited for it, for Hello and for the pong of its clock probe without a limit; it deferred up to 1,024 frames of up to 8 MiB each; and it read on while the duties behind it lagged, whose rings count messages and not bytes. A VM kept the transit delay of every name that ever introduced itself. Change: a frame is kept as it arrives, in steps of 64 KiB, and ends the link after 10 s; a frame before Hello may have 4 KiB; a peer has 5 s to introduce itself; deferred frames may have 16 MiB. Each message made of a frame holds a share until it was handled, and a link stops reading while its shares amount to more than 32 MiB. Pauses of the own process do not count. Transit delays of strangers are forgotten beyond 4,096. The sink of PeerDuty now takes one PeerFrame; the test of the transit delay is adapted to it and checks the same.

--- a/src/app/servevm.cpp
+++ b/src/app/servevm.cpp
@@ -64,9 +64,7 @@
 {
     m_peers = std::make_unique<PeerDuty>(
         m_self, m_settings.peerListenAddress,
-        PeerSinks{[this](LinkId link, FramePtr frame, Clock::time_point arrivedAt) {
-                      onPeerFrame(link, std::move(frame), arrivedAt);
-                  },
+        PeerSinks{[this](PeerFrame received) { onPeerFrame(std::move(received)); },
                   [this](const VmId &vm) {
                       m_queries->tryPost(PeerLost{vm});
                       m_tickets->tryPost(PeerLost{vm});
@@ -203,34 +201,39 @@
     return false;
 }
 
-void ServeVm::onPeerFrame(LinkId link, FramePtr frame, Clock::time_point arrivedAt)
+void ServeVm::onPeerFrame(PeerFrame received)
 {
-    if (wire::ShardBatchT *batch = frame->body.AsShardBatch())
-        m_homes->tryPost(HomeBatch{link, arrivedAt, std::move(*batch)});
-    else if (wire::CancelShardsT *cancel = frame->body.AsCancelShards())
-        m_homes->tryPost(HomeCancel{link, std::move(*cancel)});
-    else if (wire::ShardRepliesT *replies = frame->body.AsShardReplies())
-        onReplies(std::move(*replies));
-    else if (wire::TicketRequestT *request = frame->body.AsTicketRequest())
-        m_tickets->tryPost(PeerTicketRequest{link, arrivedAt, std::move(*request)});
-    else if (wire::TicketReplyT *reply = frame->body.AsTicketReply())
-        m_tickets->tryPost(PeerTicketReply{std::move(*reply)});
+    const LinkId link = received.link;
+    const Clock::time_point arrivedAt = received.arrivedAt;
+    FrameShare &share = received.share;
+    auto &body = received.frame->body;
+    if (wire::ShardBatchT *batch = body.AsShardBatch())
+        m_homes->tryPost(HomeBatch{link, arrivedAt, std::move(*batch), std::move(share)});
+    else if (wire::CancelShardsT *cancel = body.AsCancelShards())
+        m_homes->tryPost(HomeCancel{link, std::move(*cancel), std::move(share)});
+    else if (wire::ShardRepliesT *replies = body.AsShardReplies())
+        onReplies({std::move(*replies), std::move(share)});
+    else if (wire::TicketRequestT *request = body.AsTicketRequest())
+        m_tickets->tryPost(
+            PeerTicketRequest{link, arrivedAt, std::move(*request), std::move(share)});
+    else if (wire::TicketReplyT *reply = body.AsTicketReply())
+        m_tickets->tryPost(PeerTicketReply{std::move(*reply), std::move(share)});
     else
-        m_control->tryPost(ControlFrame{link, std::move(frame)});
+        m_control->tryPost(ControlFrame{link, std::move(received.frame), std::move(share)});
 }
 
-void ServeVm::onReplies(wire::ShardRepliesT replies)
+void ServeVm::onReplies(PeerReplies replies)
 {
-    if ((replies.exchange & TicketExchangeBit) != 0)
-        m_tickets->tryPost(PeerReplies{std::move(replies)});
+    if ((replies.replies.exchange & TicketExchangeBit) != 0)
+        m_tickets->tryPost(std::move(replies));
     else
-        m_queries->tryPost(PeerReplies{std::move(replies)});
+        m_queries->tryPost(std::move(replies));
 }
 
 void ServeVm::onHomeReplies(LinkId link, wire::ShardRepliesT replies)
 {
     if (link == LocalLink)
-        onReplies(std::move(replies));
+        onReplies({std::move(replies)});
     else
         m_peers->tryPost(SendOnLink{link, makeFrame(std::move(replies))});
 }
--- a/src/app/servevm.h
+++ b/src/app/servevm.h
@@ -37,9 +37,9 @@
     /// Sends a frame to a VM; frames to this VM go directly to its home duty. Returns false if the
     /// frame was not queued.
     bool sendFrame(const VmId &vm, FramePtr frame);
-    void onPeerFrame(LinkId link, FramePtr frame, Clock::time_point arrivedAt);
+    void onPeerFrame(PeerFrame received);
     void onHomeReplies(LinkId link, wire::ShardRepliesT replies);
-    void onReplies(wire::ShardRepliesT replies);
+    void onReplies(PeerReplies replies);
     ReportSources reportSources();
 
     Settings m_settings;
--- a/src/duties/messages.h
+++ b/src/duties/messages.h
@@ -22,6 +22,10 @@
 using LinkId = std::uint64_t;
 constexpr LinkId LocalLink = 0;
 
+/// Held by the message that a peer's frame becomes, until the message has been handled. From it the
+/// link knows how much of what it has read still waits, and stops reading if that is too much.
+using FrameShare = std::shared_ptr<const void>;
+
 /// Notifies a duty that another configuration is in force.
 struct DocumentChanged
 {
@@ -62,6 +66,18 @@
 struct PeerReplies
 {
     wire::ShardRepliesT replies;
+    FrameShare share = nullptr;
+};
+
+/// A frame that a link has read.
+struct PeerFrame
+{
+    LinkId link = LocalLink;
+    FramePtr frame;
+    /// When the link delivers the frame, which is later than its arrival if the frame was deferred
+    /// until the pong of a clock probe.
+    Clock::time_point arrivedAt;
+    FrameShare share = nullptr;
 };
 
 /// Notifies a duty that a VM cannot be reached; frames already sent to it may be lost.
@@ -77,6 +93,7 @@
     /// The time from which the batch's remaining time counts.
     Clock::time_point arrivedAt;
     wire::ShardBatchT batch;
+    FrameShare share = nullptr;
 };
 
 /// Cancels shard requests of an earlier batch from the same link.
@@ -84,6 +101,7 @@
 {
     LinkId link = LocalLink;
     wire::CancelShardsT cancel;
+    FrameShare share = nullptr;
 };
 
 /// Notifies a duty that a link has closed, so that replies to its batches cannot be delivered.
@@ -112,6 +130,7 @@
 {
     LinkId link = LocalLink;
     FramePtr frame;
+    FrameShare share = nullptr;
 };
 
 /// A configuration document received from the platform.
--- a/src/duties/peerduty.cpp
+++ b/src/duties/peerduty.cpp
@@ -1,6 +1,7 @@
 #include "duties/peerduty.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,9 @@
 
 constexpr std::size_t RingCapacity = 65536;
 constexpr std::chrono::milliseconds LinkCheckInterval{100};
+/// Once the transit delays of this many VMs are known, those of VMs that are neither members nor
+/// connected are forgotten. Several times the VMs of the largest fleet.
+constexpr std::size_t MaxTransits = 4096;
 
 /// Subtracts the delay of a frame in transit from its remaining time.
 template <typename FrameT>
@@ -62,6 +66,7 @@
 void PeerDuty::start()
 {
     accept();
+    m_linksCheckedAt = Clock::now();
     checkLinks();
     m_duty.start([this](PeerMessage &message) { handle(message); });
 }
@@ -175,8 +180,14 @@
     links.reserve(m_links.size());
     for (const auto &[id, link] : m_links)
         links.push_back(link);
-    for (const auto &link : links)
+    // A longer time means that this process was paused, while the frames waited for it.
+    const Clock::duration elapsed =
+        std::min<Clock::duration>(now - m_linksCheckedAt, 2 * LinkCheckInterval);
+    m_linksCheckedAt = now;
+    for (const auto &link : links) {
         link->checkSilence(now);
+        link->checkUnfinished(elapsed);
+    }
     m_linkCheckTimer.expires_at(now + LinkCheckInterval);
     m_linkCheckTimer.async_wait([this](asio::error_code error) {
         if (!error)
@@ -215,12 +226,25 @@
 
 TransitDelay &PeerDuty::transitDelayOf(const VmId &vm, std::uint64_t incarnation)
 {
+    if (m_transits.size() >= MaxTransits && m_transits.find(vm) == m_transits.end())
+        forgetStrangers();
     Transit &transit = m_transits[vm];
     if (transit.incarnation != incarnation)
         transit = Transit{incarnation, {}};
     return transit.delay;
 }
 
+void PeerDuty::forgetStrangers()
+{
+    std::unordered_set<VmId> known;
+    for (const auto &[id, link] : m_links)
+        known.insert(link->vm());
+    if (m_members)
+        for (const Member &member : m_members->members)
+            known.insert(member.vm);
+    std::erase_if(m_transits, [&](const auto &each) { return known.count(each.first) == 0; });
+}
+
 std::string PeerDuty::stateJson() const
 {
     nlohmann::json links = nlohmann::json::array();
--- a/src/duties/peerduty.h
+++ b/src/duties/peerduty.h
@@ -23,9 +23,7 @@
 /// Receives the frames and link events of the peer duty. The functions are called on its thread.
 struct PeerSinks
 {
-    /// The time is when the link delivers the frame, which is later than its arrival if the frame
-    /// was deferred until the pong of a clock probe.
-    std::function<void(LinkId, FramePtr, Clock::time_point)> onFrame;
+    std::function<void(PeerFrame)> onFrame;
     std::function<void(const VmId &)> onPeerLost;
     std::function<void(LinkId)> onLinkLost;
     /// Reports that no byte of the exchange's frame was sent; called before `onPeerLost`.
@@ -73,6 +71,8 @@
     void onRoundTrip(const VmId &vm, std::uint64_t incarnation, Clock::time_point pingSentAt,
                      std::chrono::microseconds pongSentAt);
     TransitDelay &transitDelayOf(const VmId &vm, std::uint64_t incarnation);
+    /// Drops the transit delays of VMs that are neither members nor connected.
+    void forgetStrangers();
     void subtractTransitDelay(const VmId &vm, std::uint64_t incarnation, wire::FrameT &frame,
                               Clock::time_point arrivedAt);
     std::string stateJson() const;
@@ -83,6 +83,7 @@
     Duty<PeerMessage> m_duty;
     asio::ip::tcp::acceptor m_acceptor;
     asio::basic_waitable_timer<Clock> m_linkCheckTimer;
+    Clock::time_point m_linksCheckedAt;
     MemberViewPtr m_members;
     std::atomic<std::size_t> m_pendingBytes{0};
     LinkId m_lastLink = LocalLink;
--- a/src/duties/peerlink.cpp
+++ b/src/duties/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "duties/peerlink.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <asio/buffer.hpp>
@@ -19,8 +20,23 @@
 /// The limit on the send queue of a link, in bytes. A frame sent to a link that is over it is
 /// dropped, and the link is closed.
 constexpr std::size_t MaxQueuedBytes = 16U << 20U;
-/// How many frames of a peer are deferred until its clock offset is known.
+/// How many frames of a peer, and how many bytes of them, are deferred until its clock offset is
+/// known.
 constexpr std::size_t MaxDeferredFrames = 1024;
+constexpr std::size_t MaxDeferredBytes = 2 * MaxFrameBytes;
+/// A link stops reading while its peer's frames that no duty has handled yet have more than this
+/// many bytes.
+constexpr std::size_t MaxUnhandledBytes = 4 * MaxFrameBytes;
+/// The maximum length of a frame from a peer that has not introduced itself yet.
+constexpr std::size_t MaxHelloBytes = 4096;
+/// Memory for a frame is reserved in steps of this many bytes, as they arrive, because the length
+/// of a frame is only a claim.
+constexpr std::size_t BodyStepBytes = 64U << 10U;
+/// How long a frame may take to arrive once its length is known. The longest one takes 7 s at
+/// 10 Mbit/s.
+constexpr std::chrono::seconds FrameTimeout{10};
+/// How long a peer may take to introduce itself: `Hello` and the pong of the clock probe.
+constexpr std::chrono::seconds IntroductionTimeout{5};
 
 } // namespace
 
@@ -28,6 +44,7 @@
     : m_owner(owner)
     , m_id(id)
     , m_socket(std::move(socket))
+    , m_unhandledBytes(std::make_shared<std::atomic<std::size_t>>(0))
 {
 }
 
@@ -111,25 +128,53 @@
 
 void PeerLink::readBody(std::size_t size)
 {
-    m_body.resize(size);
-    asio::async_read(m_socket, asio::buffer(m_body),
+    if (m_vm.empty() && size > MaxHelloBytes) {
+        reject("received a long frame before Hello");
+        return;
+    }
+    m_bodySize = size;
+    m_frameAge = Clock::duration(0);
+    m_body.clear();
+    readMoreOfBody();
+}
+
+void PeerLink::readMoreOfBody()
+{
+    const std::size_t begin = m_body.size();
+    m_body.resize(std::min(m_bodySize, begin + BodyStepBytes));
+    asio::async_read(m_socket, asio::buffer(m_body.data() + begin, m_body.size() - begin),
                      [self = shared_from_this()](asio::error_code error, std::size_t) {
-                         if (error) {
+                         if (error)
                              self->close();
-                             return;
-                         }
-                         auto frame = decodeFrame(self->m_body.data(), self->m_body.size());
-                         if (!frame) {
-                             self->reject(frame.error());
-                             return;
-                         }
-                         self->onFrame(std::move(*frame));
-                         if (!self->m_isClosed)
-                             self->readHeader();
+                         else if (self->m_body.size() < self->m_bodySize)
+                             self->readMoreOfBody();
+                         else
+                             self->onBody();
                      });
 }
 
-void PeerLink::onFrame(FramePtr frame)
+void PeerLink::onBody()
+{
+    const std::size_t size = std::exchange(m_bodySize, 0);
+    auto frame = decodeFrame(m_body.data(), size);
+    if (!frame) {
+        reject(frame.error());
+        return;
+    }
+    if (m_body.capacity() > BodyStepBytes)
+        m_body = {};
+    onFrame(std::move(*frame), size);
+    continueReading();
+}
+
+void PeerLink::continueReading()
+{
+    m_isReadingPaused = *m_unhandledBytes > MaxUnhandledBytes;
+    if (!m_isReadingPaused && !m_isClosed)
+        readHeader();
+}
+
+void PeerLink::onFrame(FramePtr frame, std::size_t size)
 {
     m_silence.onReceived();
     if (const wire::HelloT *hello = frame->body.AsHello()) {
@@ -144,20 +189,29 @@
     } else if (const wire::PongT *pong = frame->body.AsPong()) {
         onPong(*pong);
     } else if (!m_clockProbe) {
-        deliver(std::move(frame));
-    } else if (m_deferredFrames.size() < MaxDeferredFrames) {
-        m_deferredFrames.push_back(std::move(frame));
+        deliver(std::move(frame), shareOf(size));
+    } else if (m_deferredFrames.size() < MaxDeferredFrames
+               && m_deferredBytes + size <= MaxDeferredBytes) {
+        m_deferredBytes += size;
+        m_deferredFrames.emplace_back(std::move(frame), shareOf(size));
     } else {
         reject("received too many frames before the pong");
     }
 }
 
-void PeerLink::deliver(FramePtr frame)
+FrameShare PeerLink::shareOf(std::size_t size)
+{
+    *m_unhandledBytes += size;
+    return {m_unhandledBytes.get(),
+            [unhandled = m_unhandledBytes, size](const void *) { *unhandled -= size; }};
+}
+
+void PeerLink::deliver(FramePtr frame, FrameShare share)
 {
     // The clock is read once for both uses, because the process may be paused between two reads.
     const Clock::time_point arrivedAt = Clock::now();
     m_owner.subtractTransitDelay(m_vm, m_incarnation, *frame, arrivedAt);
-    m_owner.m_sinks.onFrame(m_id, std::move(frame), arrivedAt);
+    m_owner.m_sinks.onFrame({m_id, std::move(frame), arrivedAt, std::move(share)});
 }
 
 void PeerLink::onPong(const wire::PongT &pong)
@@ -167,8 +221,9 @@
     m_owner.onRoundTrip(m_vm, m_incarnation, m_clockProbe->sentAt,
                         std::chrono::microseconds(static_cast<std::int64_t>(pong.sent_at_us)));
     m_clockProbe.reset();
-    for (FramePtr &frame : std::exchange(m_deferredFrames, {}))
-        deliver(std::move(frame));
+    m_deferredBytes = 0;
+    for (auto &[frame, share] : std::exchange(m_deferredFrames, {}))
+        deliver(std::move(frame), std::move(share));
 }
 
 void PeerLink::onHello(const wire::HelloT &hello)
@@ -208,6 +263,23 @@
     }
 }
 
+void PeerLink::checkUnfinished(Clock::duration elapsed)
+{
+    if (m_isClosed)
+        return;
+    m_frameAge += elapsed;
+    m_introductionAge += elapsed;
+    const bool isIntroduced = m_isDialled || (!m_vm.empty() && !m_clockProbe);
+    if (isIntroduced)
+        m_introductionAge = Clock::duration(0);
+    if (m_bodySize > 0 && m_frameAge > FrameTimeout)
+        reject("a frame did not arrive in time");
+    else if (m_introductionAge > IntroductionTimeout)
+        reject("the peer did not introduce itself in time");
+    else if (m_isReadingPaused)
+        continueReading();
+}
+
 void PeerLink::writeNext()
 {
     if (m_isWriting || !m_isConnected || m_isClosed || m_sendQueue.empty())
--- a/src/duties/peerlink.h
+++ b/src/duties/peerlink.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
@@ -33,6 +35,10 @@
     void close();
     /// Pings the peer, or closes the link, if the peer has been silent for too long.
     void checkSilence(Clock::time_point now);
+    /// Closes the link if its peer takes too long to finish a frame or to introduce itself, and
+    /// resumes reading once enough frames have been handled.
+    /// `elapsed` is the time since the last call, without pauses of this process.
+    void checkUnfinished(Clock::duration elapsed);
 
     LinkId id() const { return m_id; }
     /// The peer; empty on an accepted link until the peer has sent `Hello`.
@@ -48,10 +54,16 @@
 private:
     void readHeader();
     void readBody(std::size_t size);
-    void onFrame(FramePtr frame);
+    void readMoreOfBody();
+    void onBody();
+    /// `size` is the length of the frame in bytes.
+    void onFrame(FramePtr frame, std::size_t size);
     void onHello(const wire::HelloT &hello);
     void onPong(const wire::PongT &pong);
-    void deliver(FramePtr frame);
+    void deliver(FramePtr frame, FrameShare share);
+    /// Counts a frame as not handled until the share is destroyed, on whatever thread.
+    FrameShare shareOf(std::size_t size);
+    void continueReading();
     void writeNext();
     void reject(const std::string &why);
 
@@ -64,7 +76,13 @@
     bool m_isWriting = false;
     bool m_isClosed = false;
     std::uint8_t m_header[4] = {};
+    /// The frame that is being read, as far as it has arrived.
     std::vector<std::uint8_t> m_body;
+    /// The length of that frame, or zero between frames.
+    std::size_t m_bodySize = 0;
+    Clock::duration m_frameAge{0};
+    /// How long an accepted link has lacked the peer's `Hello` or the pong of the clock probe.
+    Clock::duration m_introductionAge{0};
     std::deque<std::string> m_sendQueue;
     std::size_t m_queuedBytes = 0;
     std::string m_writeBuffer;
@@ -82,7 +100,10 @@
     std::optional<ClockProbe> m_clockProbe;
     /// Frames received while the probe is pending; their transit delay is not known before its
     /// pong.
-    std::vector<FramePtr> m_deferredFrames;
+    std::vector<std::pair<FramePtr, FrameShare>> m_deferredFrames;
+    std::size_t m_deferredBytes = 0;
+    std::shared_ptr<std::atomic<std::size_t>> m_unhandledBytes;
+    bool m_isReadingPaused = false;
 };
 
 } // namespace mangoshift
--- a/src/duties/ticketduty.h
+++ b/src/duties/ticketduty.h
@@ -45,12 +45,14 @@
     /// The time from which the request's remaining time counts.
     Clock::time_point arrivedAt;
     wire::TicketRequestT request;
+    FrameShare share = nullptr;
 };
 
 /// The reply to a submission that this VM forwarded.
 struct PeerTicketReply
 {
     wire::TicketReplyT reply;
+    FrameShare share = nullptr;
 };
 
 /// Notifies the duty that no byte of an exchange's frame was sent.
--- a/src/entry/entryvm.cpp
+++ b/src/entry/entryvm.cpp
@@ -94,8 +94,8 @@
             logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
     };
     PeerSinks sinks;
-    sinks.onFrame = [post](LinkId link, FramePtr frame, Clock::time_point) {
-        post(ControlFrame{link, std::move(frame)});
+    sinks.onFrame = [post](PeerFrame received) {
+        post(ControlFrame{received.link, std::move(received.frame), std::move(received.share)});
     };
     sinks.onPeerLost = [post](const VmId &vm) { post(PeerLost{vm}); };
     sinks.onLinkLost = [post](LinkId link) { post(LinkLost{link}); };
--- a/test/system/endless_test.cpp
+++ b/test/system/endless_test.cpp
@@ -96,6 +96,23 @@
     return socket;
 }
 
+std::string helloFrame(const std::string &vm)
+{
+    wire::HelloT hello;
+    hello.protocol = PeerProtocolVersion;
+    hello.vm = vm;
+    hello.incarnation = 7;
+    return encodeFrame(*makeFrame(std::move(hello)));
+}
+
+std::string lengthOfLongestFrame()
+{
+    std::string header;
+    for (unsigned i = 0; i < FrameHeaderBytes; ++i)
+        header.push_back(static_cast<char>((MaxFrameBytes >> (8U * i)) & 0xffU));
+    return header;
+}
+
 } // namespace
 
 TEST_CASE("A platform whose answers never end")
@@ -188,3 +205,75 @@
     }
     watched.requireUnharmed();
 }
+
+TEST_CASE("Peers whose frames never end harm no VM")
+{
+    WatchedDeployment watched;
+    const std::string vm = watched.deployment.vmNames().front();
+    const Address peer = watched.settingsAddress(vm, "peer_address");
+    asio::io_context io;
+
+    SECTION("that announce long frames on many links and send little of them")
+    {
+        constexpr int links = 200;
+        std::vector<tcp::socket> sockets;
+        for (int i = 0; i < links; ++i) {
+            sockets.push_back(connectTo(io, peer));
+            asio::write(sockets.back(),
+                        asio::buffer(helloFrame("stranger-" + std::to_string(i))
+                                     + lengthOfLongestFrame() + "little"));
+        }
+        watched.requireUnharmed();
+        // Each link is closed after a while.
+        for (tcp::socket &socket : sockets) {
+            std::array<char, 4096> buffer{};
+            asio::error_code error;
+            while (!error)
+                socket.read_some(asio::buffer(buffer), error);
+        }
+    }
+
+    SECTION("that pour before Hello")
+    {
+        wire::PingT ping;
+        const std::string pings = encodeFrame(*makeFrame(std::move(ping)));
+        for (const Endless &bytes : {Endless{"", "no frame"}, Endless{"", pings},
+                                     Endless{lengthOfLongestFrame(), "body"}}) {
+            tcp::socket socket = connectTo(io, peer);
+            CHECK(pour(socket, bytes) < MaxPouredBytes);
+        }
+        watched.requireUnharmed();
+    }
+
+    SECTION("that flood a VM with valid frames, and read none of its replies")
+    {
+        wire::PingT ping;
+        wire::ShardBatchT batch;
+        batch.exchange = 1;
+        batch.service = "pass-lookup";
+        batch.body = std::string(4U << 20U, ' ');
+        batch.shards = {1};
+        wire::ConfigReplyT reply;
+        reply.part_hashes = std::vector<std::uint64_t>(500'000, 1);
+        for (const std::string &frame :
+             {encodeFrame(*makeFrame(std::move(ping))), encodeFrame(*makeFrame(std::move(batch))),
+              encodeFrame(*makeFrame(std::move(reply)))}) {
+            tcp::socket socket = connectTo(io, peer);
+            asio::error_code ignored;
+            asio::write(socket, asio::buffer(helloFrame("flood")), ignored);
+            pour(socket, {"", frame});
+            INFO("frames of " << frame.size() << " bytes");
+            watched.requireUnharmed();
+        }
+    }
+
+    SECTION("or whose heartbeats are none")
+    {
+        constexpr int datagrams = 20'000;
+        asio::ip::udp::socket socket(io, asio::ip::udp::v4());
+        const std::string bytes(60'000, 'x');
+        for (int i = 0; i < datagrams; ++i)
+            socket.send_to(asio::buffer(bytes), {asio::ip::make_address(peer.ip), peer.port});
+        watched.requireUnharmed();
+    }
+}
--- a/test/unit/peerduty_test.cpp
+++ b/test/unit/peerduty_test.cpp
@@ -1,5 +1,10 @@
 #include <array>
+#include <chrono>
+#include <functional>
 #include <future>
+#include <mutex>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -33,6 +38,38 @@
         asio::write(m_socket, asio::buffer(encodeFrame(*makeFrame(std::move(body)))));
     }
 
+    /// Sends bytes. Returns false if the other VM has closed the connection.
+    bool sendBytes(const std::string &bytes)
+    {
+        asio::error_code error;
+        asio::write(m_socket, asio::buffer(bytes), error);
+        return !error;
+    }
+
+    /// Waits until the other VM closes the connection; calls `meanwhile` again and again. Returns
+    /// false after 30 s, which only bounds how long a failing test takes.
+    bool isClosedByOther(const std::function<void()> &meanwhile = [] {})
+    {
+        m_socket.non_blocking(true);
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+        while (std::chrono::steady_clock::now() < end) {
+            std::array<char, 4096> buffer{};
+            asio::error_code error;
+            m_socket.read_some(asio::buffer(buffer), error);
+            if (error && error != asio::error::would_block)
+                return true;
+            meanwhile();
+        }
+        return false;
+    }
+
+    /// Ends what another thread sends or receives.
+    void disconnect()
+    {
+        asio::error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+    }
+
     FramePtr receive()
     {
         std::uint8_t header[4];
@@ -87,8 +124,9 @@
         std::promise<std::uint32_t> deadlineOfFirst;
         const Address address = freeAddress();
         PeerDuty duty({}, address,
-                      {[&](LinkId, const FramePtr &frame, Clock::time_point) {
-                           deadlineOfFirst.set_value(frame->body.AsShardBatch()->deadline_us);
+                      {[&](const PeerFrame &received) {
+                           deadlineOfFirst.set_value(
+                               received.frame->body.AsShardBatch()->deadline_us);
                        },
                        [](const VmId &) {}, [](LinkId) {}, [](ExchangeId) {}});
         duty.start();
@@ -117,3 +155,121 @@
         duty.stop();
     }
 }
+
+TEST_CASE("What a VM holds for a peer is bounded in bytes and in time")
+{
+    GIVEN("a VM to which another program connects")
+    {
+        PausedClock clock;
+        const Address address = freeAddress();
+        std::mutex mutex;
+        std::vector<PeerFrame> unhandled;
+        PeerDuty duty({}, address,
+                      {[&](PeerFrame received) {
+                           const std::lock_guard lock(mutex);
+                           unhandled.push_back(std::move(received));
+                       },
+                       [](const VmId &) {}, [](LinkId) {}, [](ExchangeId) {}});
+        duty.start();
+        FakeVm vm({asio::ip::make_address(address.ip), address.port});
+        const auto passTime = [&clock] {
+            clock.advance(milliseconds(1));
+            std::this_thread::yield();
+        };
+        const std::string longestFrame{'\0', '\0', '\x80', '\0'};
+        const auto introduce = [&] {
+            vm.send(helloOf("other"));
+            const FramePtr ping = vm.receive();
+            wire::PongT pong;
+            pong.sequence = ping->body.AsPing()->sequence;
+            pong.sent_at_us = 1;
+            vm.send(pong);
+        };
+
+        SECTION("a long frame before Hello closes the link at its length")
+        {
+            vm.sendBytes(longestFrame);
+            CHECK(vm.isClosedByOther());
+        }
+
+        SECTION("a link without Hello is closed after a while")
+        {
+            CHECK(vm.isClosedByOther(passTime));
+        }
+
+        SECTION("a link whose peer does not reply to the clock probe is closed after a while")
+        {
+            vm.send(helloOf("other"));
+            REQUIRE(vm.receive()->body.AsPing() != nullptr);
+            CHECK(vm.isClosedByOther(passTime));
+        }
+
+        SECTION("a frame that trickles without an end closes the link after a while")
+        {
+            introduce();
+            vm.sendBytes(longestFrame);
+            CHECK(vm.isClosedByOther([&] {
+                vm.sendBytes("x");
+                passTime();
+            }));
+        }
+
+        SECTION("a link on which nothing is under way stays open")
+        {
+            introduce();
+            FakeVm stranger({asio::ip::make_address(address.ip), address.port});
+            REQUIRE(stranger.isClosedByOther(passTime));
+            vm.send(wire::PingT());
+            CHECK(vm.receive()->body.AsPong() != nullptr);
+        }
+
+        SECTION("frames are read no faster than they are handled, and all of them in the end")
+        {
+            introduce();
+            constexpr std::size_t megabytes = 1U << 20U;
+            constexpr std::size_t frames = 32;
+            wire::ShardBatchT batch = batchOf(microseconds(1), milliseconds(1));
+            batch.body = std::string(4 * megabytes, ' ');
+            const std::string frame = encodeFrame(*makeFrame(std::move(batch)));
+            std::thread sender([&] {
+                for (std::size_t i = 0; i < frames; ++i)
+                    vm.sendBytes(frame);
+            });
+            // Another link is read and checked meanwhile, until it is closed for its lack of Hello.
+            FakeVm stranger({asio::ip::make_address(address.ip), address.port});
+            CHECK(stranger.isClosedByOther(passTime));
+            std::size_t handled = 0;
+            const auto handleAll = [&] {
+                const std::lock_guard lock(mutex);
+                handled += unhandled.size();
+                unhandled.clear();
+            };
+            handleAll();
+            CHECK(handled == 8);
+            const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+            while (handled < frames && std::chrono::steady_clock::now() < end) {
+                passTime();
+                handleAll();
+            }
+            CHECK(handled == frames);
+            vm.disconnect();
+            sender.join();
+        }
+
+        SECTION("frames before the pong of the clock probe close the link at some bytes")
+        {
+            constexpr std::size_t megabytes = 1U << 20U;
+            constexpr std::size_t bound = 64 * megabytes;
+            vm.send(helloOf("other"));
+            REQUIRE(vm.receive()->body.AsPing() != nullptr);
+            wire::ShardBatchT batch = batchOf(microseconds(1), milliseconds(1));
+            batch.body = std::string(4 * megabytes, ' ');
+            const std::string frame = encodeFrame(*makeFrame(std::move(batch)));
+            std::size_t sent = 0;
+            while (sent < bound && vm.sendBytes(frame))
+                sent += frame.size();
+            CHECK(sent < bound);
+        }
+        duty.stop();
+    }
+}
