Reject frames that unpack to more than their length

What was seen: a frame of some 64 KiB whose 500 tables share one text was decoded into 500 copies of it. A heartbeat does the same in one datagram. Cause: a FlatBuffers offset may be shared, the verifier allows it, and unpacking copies the text for each table. Change: decodeFrame adds up the texts and vectors of a frame's tables and rejects it if they are more than the frame. A frame that was packed by encodeFrame has a text of its own for each table.

--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -66,6 +66,102 @@
     }
 }
 
+std::size_t sizeOf(const flatbuffers::String *text)
+{
+    return text == nullptr ? 0 : text->size();
+}
+
+template <typename Element>
+std::size_t sizeOf(const flatbuffers::Vector<Element> *elements)
+{
+    return elements == nullptr ? 0 : elements->size() * sizeof(Element);
+}
+
+template <typename Struct>
+std::size_t sizeOf(const flatbuffers::Vector<const Struct *> *structs)
+{
+    return structs == nullptr ? 0 : structs->size() * sizeof(Struct);
+}
+
+std::size_t sizeOf(const wire::MemberInfo &member)
+{
+    return sizeOf(member.vm()) + sizeOf(member.failure_domain()) + sizeOf(member.region())
+        + sizeOf(member.peer_address());
+}
+
+std::size_t sizeOf(const wire::RegisteredTarget &target)
+{
+    return sizeOf(target.id()) + sizeOf(target.service()) + sizeOf(target.address())
+        + sizeOf(target.failure_domain());
+}
+
+std::size_t sizeOf(const wire::ShardReply &reply)
+{
+    return sizeOf(reply.rows());
+}
+
+std::size_t sizeOf(const wire::ConfigPart &part)
+{
+    return sizeOf(part.text());
+}
+
+std::size_t sizeOf(const wire::BudgetCount &count)
+{
+    return sizeOf(count.service());
+}
+
+std::size_t sizeOf(const wire::PermitAsk &ask)
+{
+    return sizeOf(ask.part_sizes()) + sizeOf(ask.targets());
+}
+
+std::size_t sizeOf(const wire::PermitOutcome &outcome)
+{
+    return sizeOf(outcome.targets()) + sizeOf(outcome.valid_in_ms());
+}
+
+/// Returns the sum of the sizes of tables, in bytes.
+template <typename Table>
+std::size_t sizeOfAll(const flatbuffers::Vector<flatbuffers::Offset<Table>> *tables)
+{
+    std::size_t sum = 0;
+    if (tables != nullptr)
+        for (const Table *table : *tables)
+            sum += sizeOf(*table);
+    return sum;
+}
+
+/// Returns how many bytes of texts and numbers the tables of a frame hold once they are unpacked.
+/// Several tables may refer to the same text, which each of them then holds for itself. A frame
+/// that was packed by `encodeFrame` has a text of its own for each.
+std::size_t unpackedSize(const wire::Frame &frame)
+{
+    switch (frame.body_type()) {
+    case wire::Body::ShardReplies:
+        return sizeOfAll(frame.body_as_ShardReplies()->replies());
+    case wire::Body::ConfigReply:
+        return sizeOfAll(frame.body_as_ConfigReply()->parts());
+    case wire::Body::Heartbeat:
+        return sizeOfAll(frame.body_as_Heartbeat()->updates());
+    case wire::Body::MembersPull:
+        return sizeOfAll(frame.body_as_MembersPull()->known());
+    case wire::Body::MembersReply:
+        return sizeOfAll(frame.body_as_MembersReply()->known());
+    case wire::Body::StateReply:
+        return sizeOfAll(frame.body_as_StateReply()->targets());
+    case wire::Body::BudgetAsk:
+        return sizeOfAll(frame.body_as_BudgetAsk()->counts());
+    case wire::Body::BudgetGrant:
+        return sizeOfAll(frame.body_as_BudgetGrant()->counts());
+    case wire::Body::PermitRequest:
+        return sizeOfAll(frame.body_as_PermitRequest()->asks());
+    case wire::Body::PermitReply:
+        return sizeOfAll(frame.body_as_PermitReply()->outcomes());
+    default:
+        return 0;
+    }
+}
+
 } // namespace
 
 tl::expected<std::size_t, std::string> decodeFrameLength(const std::uint8_t (&header)[4])
@@ -91,6 +187,8 @@
         return tl::make_unexpected(std::string("frame has no body"));
     if (!areVectorsAligned(packed))
         return tl::make_unexpected(std::string("64-bit vector in the frame is not aligned"));
+    if (unpackedSize(packed) > size)
+        return tl::make_unexpected(std::string("frame unpacks to more than its length"));
     FramePtr frame(packed.UnPack());
     if (frame->body.value == nullptr)
         return tl::make_unexpected(std::string("frame has no body"));
--- a/test/unit/framecodec_test.cpp
+++ b/test/unit/framecodec_test.cpp
@@ -1,4 +1,5 @@
 #include <cstring>
+#include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -90,3 +91,49 @@
         }
     }
 }
+
+TEST_CASE("A frame whose tables share a text is rejected, as each would hold the text for itself")
+{
+    constexpr std::size_t textBytes = 64U << 10U;
+    constexpr std::size_t tables = 500;
+    flatbuffers::FlatBufferBuilder builder;
+    const auto finish = [&builder](wire::Body type, auto body) {
+        builder.Finish(wire::CreateFrame(builder, type, body.Union()));
+        // Aligned as the buffers are from which frames are decoded.
+        return Bytes(builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize());
+    };
+    const auto text = builder.CreateString(std::string(textBytes, 'x'));
+    Bytes frame;
+
+    SECTION("in the replies of shards")
+    {
+        std::vector<flatbuffers::Offset<wire::ShardReply>> replies;
+        for (std::size_t i = 0; i < tables; ++i)
+            replies.push_back(wire::CreateShardReply(builder, i, 0, 0, 0, 0, 0, 0, text));
+        const auto vector = builder.CreateVector(replies);
+        frame = finish(wire::Body::ShardReplies, wire::CreateShardReplies(builder, 1, vector));
+    }
+
+    SECTION("in the parts of a configuration, of which all are one table")
+    {
+        const std::vector<flatbuffers::Offset<wire::ConfigPart>> parts(
+            tables, wire::CreateConfigPart(builder, 1, text));
+        const auto vector = builder.CreateVector(parts);
+        frame = finish(wire::Body::ConfigReply, wire::CreateConfigReply(builder, 1, 0, vector));
+    }
+
+    SECTION("in the updates of a heartbeat, which fits into a datagram")
+    {
+        const auto shorter = builder.CreateString(std::string(1000, 'x'));
+        const std::vector<flatbuffers::Offset<wire::MemberInfo>> updates(
+            tables, wire::CreateMemberInfo(builder, shorter, shorter, shorter, shorter));
+        const auto vector = builder.CreateVector(updates);
+        wire::HeartbeatBuilder heartbeat(builder);
+        heartbeat.add_updates(vector);
+        frame = finish(wire::Body::Heartbeat, heartbeat.Finish());
+    }
+
+    const auto decoded = decodeFrame(frame.data(), frame.size());
+    REQUIRE_FALSE(decoded);
+    CHECK(decoded.error() == "frame unpacks to more than its length");
+}
