Close idle connections that receive bytes

Cause: ClientConnection, and TargetConnection likewise until a response was complete, parsed what came between two calls. Change: bytes between two calls close the connection. The other tests of endlessreaders_test.cpp, of the readers that were bounded already (targets on both paths, the store, callers of entry), pass.

--- a/src/app/callerclient.cpp
+++ b/src/app/callerclient.cpp
@@ -87,7 +87,9 @@
 {
     m_socket.async_read_some(
         asio::buffer(m_buffer), [self = shared_from_this()](asio::error_code error, std::size_t n) {
-            if (!error && self->m_reader.feed(self->m_buffer.data(), n) && !self->m_isClosed) {
+            // Bytes between two calls belong to no request.
+            const bool isExpected = !error && self->m_done != nullptr;
+            if (isExpected && self->m_reader.feed(self->m_buffer.data(), n) && !self->m_isClosed) {
                 self->read();
                 return;
             }
--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -92,6 +92,9 @@
                                      return;
                                  if (error) {
                                      self->close(HttpResult::End::Closed);
+                                 } else if (!self->m_done) {
+                                     // Bytes between two requests belong to neither.
+                                     self->close(HttpResult::End::Malformed);
                                  } else if (!self->m_reader.feed(self->m_buffer.data(), size)) {
                                      self->close(HttpResult::End::Malformed);
                                  } else if (!self->m_isClosed) {
