Bound what the commands read, in bytes and in time

What was seen: query, state, submit and replay took an answer without an end for as long as it came, and waited for ever for one that trickled. submit asked for a ticket again and again without a pause where a VM answered 200 without one. Cause: httplib's client has no bound on a response and a time limit for each read only; a missing ticket counted as success. Change: the commands use HttpClient with bounds on head, body and the whole exchange. query waits for the deadline and 5 s (65 s without one). submit still says not_run only if no VM issued a ticket, sends each request once a turn, and waits and gives up where no answer holds a ticket; an answer with fields of another type no longer ends it.

--- a/src/app/query.cpp
+++ b/src/app/query.cpp
@@ -1,11 +1,13 @@
+#include <algorithm>
+#include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 
-#include <httplib.h>
-
 #include "app/command.h"
 #include "app/commandline.h"
 #include "base/address.h"
+#include "http/httpclient.h"
 
 namespace mangoshift {
 
@@ -22,6 +24,13 @@
     "  -d, --deadline-ms N  the deadline in milliseconds\n"
     "  -h, --help           print this text\n";
 
+constexpr HttpSizeLimits AnswerLimits{64U << 10U, 16U << 20U};
+constexpr std::chrono::milliseconds ConnectTimeout{5000};
+/// The longest deadline that a VM accepts.
+constexpr std::chrono::milliseconds MaxDeadline{60'000};
+/// How long past the deadline the answer may take to arrive.
+constexpr std::chrono::milliseconds AnswerMargin{5000};
+
 struct Options
 {
     std::string to;
@@ -30,6 +39,15 @@
     std::string body = "{}";
 };
 
+/// Returns how long to wait for the answer to a query with the deadline `text`, which may be empty.
+std::chrono::milliseconds answerTimeout(const std::string &text)
+{
+    const std::chrono::milliseconds deadline(std::strtol(text.c_str(), nullptr, 10));
+    if (text.empty() || deadline > MaxDeadline)
+        return MaxDeadline + AnswerMargin;
+    return std::max(deadline, std::chrono::milliseconds(0)) + AnswerMargin;
+}
+
 int run(const Options &options)
 {
     const auto address = parseAddress(options.to);
@@ -37,19 +55,20 @@
         std::fprintf(stderr, "mangoshift query: --to: %s\n", address.error().c_str());
         return ExitUsage;
     }
-    httplib::Client client(address->ip, address->port);
-    httplib::Headers headers;
+    HttpClient client(*address, {AnswerLimits, ConnectTimeout, answerTimeout(options.deadline)});
+    HttpHeaders headers;
     if (!options.deadline.empty())
-        headers.emplace("Deadline-Ms", options.deadline);
-    const auto result = client.Post(("/v1/query/" + options.service).c_str(), headers, options.body,
-                                    "application/json");
-    if (!result) {
+        headers.add("Deadline-Ms", options.deadline);
+    const auto result =
+        client.sendJson("POST", "/v1/query/" + options.service, options.body, std::move(headers));
+    if (result.end != HttpClient::End::Responded) {
         std::fprintf(stderr, "mangoshift query: no response from %s\n", options.to.c_str());
         return ExitFailure;
     }
-    std::fputs(result->body.c_str(), stdout);
+    const HttpResponse &answer = result.response;
+    std::fputs(answer.body.c_str(), stdout);
     const bool isComplete =
-        result->status == 200 && result->body.find("\"complete\":true") != std::string::npos;
+        answer.status == 200 && answer.body.find("\"complete\":true") != std::string::npos;
     return isComplete ? ExitOk : ExitFault;
 }
 
--- a/src/app/replayfaults.cpp
+++ b/src/app/replayfaults.cpp
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include <fnmatch.h>
-#include <httplib.h>
 
 #include "config/documentjson.h"
+#include "http/httpclient.h"
 
 namespace mangoshift {
 
@@ -18,11 +18,13 @@
 using Json = nlohmann::json;
 using std::chrono::steady_clock;
 
+/// The records of a process list each of its targets.
+constexpr HttpClientLimits Limits{
+    {64U << 10U, 32U << 20U}, std::chrono::seconds(5), std::chrono::seconds(5)};
+
 bool put(const Address &address, const std::string &path, const std::string &body)
 {
-    httplib::Client client(address.ip, address.port);
-    const auto result = client.Put(path.c_str(), body, "application/json");
-    return result && result->status == 200;
+    return HttpClient(address, Limits).sendJson("PUT", path, body).hasStatus(200);
 }
 
 } // namespace
@@ -48,11 +50,12 @@
     std::uint64_t sum = 0;
     for (const Address &control : m_deployment.targetControls) {
         std::uint64_t &queries = m_queriesByControl[control.toString()];
-        httplib::Client client(control.ip, control.port);
-        if (const auto result = client.Get("/records"); result && result->status == 200) {
+        const auto result = HttpClient(control, Limits).get("/records");
+        if (result.hasStatus(200)) {
             queries = 0;
-            for (const Json &record : Json::parse(result->body))
-                queries += record.value("queries_run", std::uint64_t(0));
+            for (const Json &record : Json::parse(result.response.body, nullptr, false))
+                if (record.is_object())
+                    queries += record.value("queries_run", std::uint64_t(0));
         }
         sum += queries;
     }
@@ -99,9 +102,9 @@
 
 void FaultInjector::inject(const PublishDocument &publish, steady_clock::time_point)
 {
-    httplib::Client platform(m_deployment.platform.ip, m_deployment.platform.port);
-    const auto status = platform.Get("/control/status");
-    if (!status || status->status != 200) {
+    const auto status = HttpClient(m_deployment.platform, Limits).get("/control/status");
+    const Json statusJson = Json::parse(status.response.body, nullptr, false);
+    if (!status.hasStatus(200) || !statusJson.is_object()) {
         recordError("cannot fetch the status of the platform");
         return;
     }
@@ -111,7 +114,7 @@
         recordError(std::string("publish: ") + error.what());
         return;
     }
-    m_document["base_version"] = Json::parse(status->body).value("version", 0);
+    m_document["base_version"] = statusJson.value("version", 0);
     auto document = parseDocument(m_document.dump(), 1);
     if (!document) {
         recordError("publish: " + document.error().front().path + ": "
--- a/src/app/state.cpp
+++ b/src/app/state.cpp
@@ -1,11 +1,11 @@
+#include <chrono>
 #include <cstdio>
 #include <string>
 
-#include <httplib.h>
-
 #include "app/command.h"
 #include "app/commandline.h"
 #include "base/address.h"
+#include "http/httpclient.h"
 
 namespace mangoshift {
 
@@ -19,6 +19,10 @@
     "  -o, --of ADDRESS  operator address of the VM, for example 127.0.1.1:7101\n"
     "  -h, --help        print this text\n";
 
+/// A dump lists every target and VM that a VM knows: some MB in a fleet of the design size.
+constexpr HttpClientLimits Limits{
+    {64U << 10U, 32U << 20U}, std::chrono::seconds(5), std::chrono::seconds(30)};
+
 int run(const std::string &of)
 {
     const auto address = parseAddress(of);
@@ -26,13 +30,13 @@
         std::fprintf(stderr, "mangoshift state: --of: %s\n", address.error().c_str());
         return ExitUsage;
     }
-    httplib::Client client(address->ip, address->port);
-    const auto result = client.Get("/state");
-    if (!result || result->status != 200) {
+    HttpClient client(*address, Limits);
+    const auto result = client.get("/state");
+    if (!result.hasStatus(200)) {
         std::fprintf(stderr, "mangoshift state: cannot fetch the state dump from %s\n", of.c_str());
         return ExitFailure;
     }
-    std::fputs(result->body.c_str(), stdout);
+    std::fputs(result.response.body.c_str(), stdout);
     return ExitOk;
 }
 
--- a/src/app/submit.cpp
+++ b/src/app/submit.cpp
@@ -3,14 +3,15 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "app/command.h"
 #include "app/commandline.h"
 #include "base/address.h"
+#include "http/httpclient.h"
 
 namespace mangoshift {
 
@@ -34,8 +35,9 @@
     "Exit statuses: 0 ran, 1 not run, 2 invalid command line, 3 no VM issued a ticket (not run),\n"
     "4 may have run.\n";
 
-constexpr std::chrono::milliseconds ConnectTimeout{500};
-constexpr std::chrono::milliseconds ReadTimeout{3000};
+/// A response holds the answer of one target, which may have 4 MiB.
+constexpr HttpClientLimits Limits{
+    {64U << 10U, 8U << 20U}, std::chrono::milliseconds(500), std::chrono::milliseconds(3000)};
 constexpr std::chrono::milliseconds RetryInterval{100};
 constexpr std::chrono::milliseconds DefaultTimeout{10'000};
 
@@ -58,6 +60,17 @@
     std::string text;
 };
 
+/// Returns the first ticket of the response to a request for tickets, or an empty string if it has
+/// none.
+std::string firstTicket(const std::string &response)
+{
+    const auto json = nlohmann::json::parse(response, nullptr, false);
+    if (!json.is_object() || !json.contains("tickets") || !json["tickets"].is_array()
+        || json["tickets"].empty() || !json["tickets"].front().is_string())
+        return {};
+    return json["tickets"].front();
+}
+
 /// Requests a ticket unless one is given, then sends the submission repeatedly until its outcome is
 /// known, it is rejected or the timeout has passed.
 class Submission
@@ -74,14 +87,18 @@
     {
         m_ticket = m_options.ticket;
         while (m_ticket.empty()) {
-            const httplib::Result result = post("/v1/tickets/", {}, "");
-            if (result && result->status == 200) {
-                const auto json = nlohmann::json::parse(result->body, nullptr, false);
-                m_ticket = json.value("tickets", std::vector<std::string>{""}).front();
-            } else if (result && result->status < 500) {
-                std::fputs(result->body.c_str(), stdout);
+            const HttpClient::Result result = post("/v1/tickets/", {}, "");
+            const HttpResponse &response = result.response;
+            if (result.hasStatus(200))
+                m_ticket = firstTicket(response.body);
+            if (!m_ticket.empty())
+                break;
+            if (result.end == HttpClient::End::Responded && response.status != 200
+                && response.status < 500) {
+                std::fputs(response.body.c_str(), stdout);
                 return ExitFault;
-            } else if (!waitBeforeRetry()) {
+            }
+            if (!waitBeforeRetry()) {
                 std::fputs("mangoshift submit: no VM issued a ticket; the request was not sent\n",
                            stderr);
                 return ExitFailure;
@@ -115,26 +132,24 @@
 
     SubmitResponse send()
     {
-        httplib::Headers headers{{"Idempotency-Key", m_ticket}};
+        HttpHeaders headers;
+        headers.add("Idempotency-Key", m_ticket);
         if (!m_options.shardKey.empty())
-            headers.emplace("Shard-Key", m_options.shardKey);
-        const httplib::Result result = post("/v1/submit/", headers, m_options.body);
-        if (!result)
+            headers.add("Shard-Key", m_options.shardKey);
+        const HttpClient::Result result = post("/v1/submit/", std::move(headers), m_options.body);
+        if (result.end != HttpClient::End::Responded)
             return {};
-        const auto json = nlohmann::json::parse(result->body, nullptr, false);
-        if (!json.is_object())
+        const HttpResponse &response = result.response;
+        const auto json = nlohmann::json::parse(response.body, nullptr, false);
+        if (!json.is_object() || !json.contains("execution") || !json["execution"].is_string())
             return {};
-        return {json.value("execution", ""), result->status, result->body};
+        return {json["execution"], response.status, response.body};
     }
 
-    httplib::Result post(const std::string &route, const httplib::Headers &headers,
-                         const std::string &body)
+    HttpClient::Result post(const std::string &route, HttpHeaders headers, const std::string &body)
     {
-        const Address &address = m_options.to[m_nextAddress % m_options.to.size()];
-        httplib::Client client(address.ip, address.port);
-        client.set_connection_timeout(ConnectTimeout);
-        client.set_read_timeout(ReadTimeout);
-        return client.Post((route + m_options.service).c_str(), headers, body, "application/json");
+        HttpClient client(m_options.to[m_nextAddress % m_options.to.size()], Limits);
+        return client.sendJson("POST", route + m_options.service, body, std::move(headers));
     }
 
     /// Selects the next VM and pauses for `RetryInterval`. Returns false if the timeout has passed.
--- a/test/system/endless_test.cpp
+++ b/test/system/endless_test.cpp
@@ -96,6 +96,11 @@
     return socket;
 }
 
+int exitStatusOf(const std::vector<std::string> &arguments)
+{
+    return Process("mangoshift", arguments, "/dev/null").wait();
+}
+
 std::string helloFrame(const std::string &vm)
 {
     wire::HelloT hello;
@@ -155,6 +160,50 @@
     }
 }
 
+TEST_CASE("Commands end although the answer does not")
+{
+    // The largest answer that a command takes, with what the sockets of both ends hold.
+    constexpr std::size_t maxTaken = 96U << 20U;
+    SECTION("in any part of it")
+    {
+        for (const Endless &bytes : endlessResponses()) {
+            INFO(bytes.begin << " / " << bytes.repeated);
+            const EndlessServer server({"127.0.0.1", 0}, bytes);
+            const std::string to = server.address();
+            CHECK(exitStatusOf({"query", "--to", to, "--service", "s"}) == ExitFailure);
+            CHECK(exitStatusOf({"state", "--of", to}) == ExitFailure);
+            CHECK(exitStatusOf({"submit", "--to", to, "--service", "s", "--patience-ms", "1"})
+                  == ExitFailure);
+            // Its bytes were given to the socket, so it may have run.
+            CHECK(exitStatusOf({"submit", "--to", to, "--service", "s", "--patience-ms", "1",
+                                "--ticket", "t"})
+                  == ExitMayHaveRun);
+            CHECK(server.mostPoured() < maxTaken);
+        }
+    }
+
+    SECTION("also if the answer trickles")
+    {
+        const EndlessServer server({"127.0.0.1", 0},
+                                   {"HTTP/1.1 200 OK\r\n\r\n", "x", milliseconds(100)});
+        const std::string to = server.address();
+        CHECK(exitStatusOf({"query", "--to", to, "--service", "s", "--deadline-ms", "1"})
+              == ExitFailure);
+        CHECK(exitStatusOf(
+                  {"submit", "--to", to, "--service", "s", "--patience-ms", "1", "--ticket", "t"})
+              == ExitMayHaveRun);
+    }
+
+    SECTION("submit does not wait for ever for a ticket that no answer holds")
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"tickets\":[]}";
+        const EndlessServer server({"127.0.0.1", 0}, {answer, answer});
+        CHECK(exitStatusOf(
+                  {"submit", "--to", server.address(), "--service", "s", "--patience-ms", "500"})
+              == ExitFailure);
+    }
+}
+
 TEST_CASE("Callers and operators whose requests never end harm no VM")
 {
     WatchedDeployment watched;
