--- a/test/unit/pouringserver.h
+++ b/test/unit/pouringserver.h
@@ -56,7 +56,8 @@
 {
 public:
     /// If `onPiece` is given, the server sends `repeated` once at a time and calls it before each.
-    PouringServer(std::string begin, std::string repeated, std::function<void()> onPiece = {})
+    PouringServer(std::string begin, const std::string &repeated,
+                  std::function<void()> onPiece = {})
         : m_begin(std::move(begin))
         , m_onPiece(std::move(onPiece))
         , m_server(m_io, [this](const ScriptedServer::ConnectionPtr &each) { onBytes(each); })
