--- a/test/system/endless_test.cpp
+++ b/test/system/endless_test.cpp
@@ -285,7 +285,7 @@
     SECTION("that pour before Hello")
     {
         wire::PingT ping;
-        const std::string pings = encodeFrame(*makeFrame(std::move(ping)));
+        const std::string pings = encodeFrame(*makeFrame(ping));
         for (const Endless &bytes : {Endless{"", "no frame"}, Endless{"", pings},
                                      Endless{lengthOfLongestFrame(), "body"}}) {
             tcp::socket socket = connectTo(io, peer);
@@ -305,7 +305,7 @@
         wire::ConfigReplyT reply;
         reply.part_hashes = std::vector<std::uint64_t>(500'000, 1);
         for (const std::string &frame :
-             {encodeFrame(*makeFrame(std::move(ping))), encodeFrame(*makeFrame(std::move(batch))),
+             {encodeFrame(*makeFrame(ping)), encodeFrame(*makeFrame(std::move(batch))),
               encodeFrame(*makeFrame(std::move(reply)))}) {
             tcp::socket socket = connectTo(io, peer);
             asio::error_code ignored;
