Let a home report calls that only waited for a connection as not run

What callers saw: on the `serve` path, a shard request that a home had given to the pool of a target, where it waited for a connection until its deadline or until it was cancelled, was `may_have_run`, though no byte of it had been sent.

Cause: `SlotScheduler::replyTo` took each call in flight for one that may have arrived.

Evidence: the random test of the scheduler now lets one call in five wait for a connection and requires that a reply says `not_run` if and only if no target can have got the request.

Change: `TargetPool::send` tells when a request is given to a connection, and the scheduler counts from then on. A probe that was not sent yet is cancelled with a request that is reported as not run; other probes go on as before.

The test's weaker check (not run implies no call in flight) is replaced by the equivalence. At a root a shard that a home has not replied to by the deadline stays `may_have_run`, as the home may have sent it.

--- a/include/mangoshift/slotscheduler.h
+++ b/include/mangoshift/slotscheduler.h
@@ -151,6 +151,8 @@
 ///
 /// A request is bound to a replica only when the replica has a free slot. Guarantees that:
 /// - the calls in flight from this VM to a target never exceed the target's slots;
+/// - a reply says `NotRun` if and only if no target can have got the request, or each target that
+/// got it has said that it did not run it;
 /// - each request gets exactly one `ReplyShard`, by its deadline if `onTimer` is called in time;
 /// - a request that is not idempotent is sent again only after its earlier call ended with
 /// `NotRun`;
@@ -187,6 +189,9 @@
     SchedulerActions onRequest(ShardRequest request, Clock::time_point now);
     /// Handles the cancellation of a request by its requester.
     SchedulerActions onCancel(ShardRequestId request, Clock::time_point now);
+    /// Handles that a call may arrive at its target from now on; until then it waits for a
+    /// connection. A call that is cancelled before must never be sent.
+    void onCallSent(CallId call);
     /// Handles the end of a call. The owner must report exactly one outcome for each
     /// `SendToTarget`.
     SchedulerActions onCallEnded(CallId call, CallOutcome outcome, Clock::time_point now);
@@ -230,6 +235,8 @@
         std::shared_ptr<internal::TargetState> target;
         Clock::time_point sentAt;
         CopyKind kind = CopyKind::First;
+        /// Whether the call may have arrived at its target.
+        bool hasBeenSent = false;
         bool isCancelled = false;
         Clock::time_point cancelledAt{};
     };
@@ -263,6 +270,8 @@
     void tryProbe(Pending &pending, Clock::time_point now);
     void tryHedge(Pending &pending, Clock::time_point now);
     void dropWaitingHedge(Pending &pending, Clock::time_point now);
+    /// Returns whether a target may have got a copy of the request.
+    bool mayHaveArrived(const Pending &pending) const;
     /// Returns true if each target that has a copy of the request in flight is suspect or takes no
     /// requests.
     bool areAllCalledTargetsSuspect(const Pending &pending, Clock::time_point now) const;
@@ -286,7 +295,8 @@
                 Clock::time_point now);
     void refuseUnservable(internal::ReplicaSet &set, Clock::time_point now);
     void replyTo(Pending &pending, CallOutcome outcome, Clock::time_point now);
-    void cancelCalls(Pending &pending, Clock::time_point now);
+    /// Cancels the calls in flight, those that were not sent in any case if `isNotRun`.
+    void cancelCalls(Pending &pending, bool isNotRun, Clock::time_point now);
     void schedule(Clock::time_point at, ShardRequestId request);
     SchedulerActions takeActions();
 
--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -90,6 +90,20 @@
     return takeActions();
 }
 
+void SlotScheduler::onCallSent(CallId call)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end())
+        it->second.hasBeenSent = true;
+}
+
+bool SlotScheduler::mayHaveArrived(const Pending &pending) const
+{
+    return pending.mayHaveRun
+        || std::any_of(pending.calls.begin(), pending.calls.end(),
+                       [this](CallId call) { return m_calls.at(call).hasBeenSent; });
+}
+
 SchedulerActions SlotScheduler::onCallEnded(CallId call, CallOutcome outcome, Clock::time_point now)
 {
     const auto it = m_calls.find(call);
@@ -145,7 +159,7 @@
     }
     if (now >= deadline) {
         CallOutcome outcome;
-        outcome.verdict = {Execution::MayHaveRun, Reason::DeadlineExceeded};
+        outcome.verdict = {Execution::NotRun, Reason::DeadlineExceeded};
         replyTo(pending, std::move(outcome), now);
         return;
     }
@@ -435,10 +449,9 @@
 void SlotScheduler::replyTo(Pending &pending, CallOutcome outcome, Clock::time_point now)
 {
     dequeue(pending);
-    if (outcome.verdict.execution == Execution::NotRun
-        && (pending.mayHaveRun || !pending.calls.empty()))
+    if (outcome.verdict.execution == Execution::NotRun && mayHaveArrived(pending))
         outcome.verdict.execution = Execution::MayHaveRun;
-    cancelCalls(pending, now);
+    cancelCalls(pending, outcome.verdict.execution == Execution::NotRun, now);
     ReplyShard reply{pending.request.id, {}};
     reply.outcome.shard = pending.request.shard;
     reply.outcome.verdict = outcome.verdict;
@@ -459,12 +472,13 @@
     replyTo(pending, std::move(outcome), now);
 }
 
-void SlotScheduler::cancelCalls(Pending &pending, Clock::time_point now)
+void SlotScheduler::cancelCalls(Pending &pending, bool isNotRun, Clock::time_point now)
 {
     for (const CallId id : pending.calls) {
         Call &call = m_calls.at(id);
         // A probe is not cancelled, because it was sent to measure its latency.
-        if (call.kind == CopyKind::Probe && now < pending.request.deadline)
+        const bool mustNotBeSent = isNotRun && !call.hasBeenSent;
+        if (call.kind == CopyKind::Probe && now < pending.request.deadline && !mustNotBeSent)
             continue;
         call.isCancelled = true;
         call.cancelledAt = now;
--- a/src/duties/homeduty.cpp
+++ b/src/duties/homeduty.cpp
@@ -300,13 +300,16 @@
     TargetPool &pool = poolOf(m_document->document().targets[action.target]);
     const CallId call = action.call;
     m_calls.emplace(call, &pool);
-    pool.send(std::move(request), [this, call](const HttpResult &result) {
-        m_calls.erase(call);
-        if (!m_removedPools.empty())
-            schedulePoolClosing();
-        const Clock::time_point now = suspendIfPaused();
-        perform(m_scheduler.onCallEnded(call, toCallOutcome(result), now));
-    });
+    pool.send(
+        std::move(request),
+        [this, call](const HttpResult &result) {
+            m_calls.erase(call);
+            if (!m_removedPools.empty())
+                schedulePoolClosing();
+            const Clock::time_point now = suspendIfPaused();
+            perform(m_scheduler.onCallEnded(call, toCallOutcome(result), now));
+        },
+        [this, call] { m_scheduler.onCallSent(call); });
 }
 
 void HomeDuty::cancelCall(CallId call)
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -40,10 +40,10 @@
         connection->detach();
 }
 
-void TargetPool::send(PooledRequest request, Done done)
+void TargetPool::send(PooledRequest request, Done done, OnSent onSent)
 {
     request.message.headers.add("x-call-id", request.callId);
-    m_waiting.push_back(WaitingRequest{std::move(request), std::move(done)});
+    m_waiting.push_back(WaitingRequest{std::move(request), std::move(done), std::move(onSent)});
     dispatchWaiting();
 }
 
@@ -75,6 +75,8 @@
         WaitingRequest next = std::move(m_waiting.front());
         m_waiting.pop_front();
         m_busy[next.request.callId] = connection;
+        if (next.onSent)
+            next.onSent();
         connection->start(std::move(next.request), std::move(next.done));
     }
     openConnections(m_waiting.size());
--- a/src/net/targetpool.h
+++ b/src/net/targetpool.h
@@ -73,6 +73,7 @@
 {
 public:
     using Done = std::function<void(HttpResult)>;
+    using OnSent = std::function<void()>;
 
     TargetPool(asio::io_context &io, Address address, std::size_t maxConnections,
                PoolTimeouts timeouts = {});
@@ -83,8 +84,9 @@
 
     /// Sends a request on an idle or new connection, or queues it if the connection limit is
     /// reached. `done` is called exactly once, at the latest shortly after the deadline or the
-    /// cancellation, and never from within `send`.
-    void send(PooledRequest request, Done done);
+    /// cancellation, and never from within `send`. `onSent` is called when the request is given to
+    /// a connection, possibly from within `send`; a request that is cancelled before is not sent.
+    void send(PooledRequest request, Done done, OnSent onSent = nullptr);
     /// Cancels the request with this ID, whose response is no longer needed. Its `done` is called
     /// later.
     void cancel(const std::string &callId);
@@ -106,6 +108,7 @@
     {
         PooledRequest request;
         Done done;
+        OnSent onSent;
     };
 
     void dispatchWaiting();
--- a/test/unit/schedulerharness.h
+++ b/test/unit/schedulerharness.h
@@ -51,9 +51,11 @@
         replies.clear();
         changes.clear();
         for (SchedulerAction &action : actions) {
-            if (const auto *send = std::get_if<SendToTarget>(&action))
+            if (const auto *send = std::get_if<SendToTarget>(&action)) {
                 sent.push_back(*send);
-            else if (const auto *cancel = std::get_if<CancelCall>(&action))
+                if (hasFreeConnections)
+                    scheduler.onCallSent(send->call);
+            } else if (const auto *cancel = std::get_if<CancelCall>(&action))
                 cancelled.push_back(cancel->call);
             else if (const auto *reply = std::get_if<ReplyShard>(&action))
                 replies.push_back(*reply);
@@ -112,6 +114,8 @@
     std::vector<TargetChanged> changes;
     Clock::time_point timer{};
     ShardRequestId lastRequest = 0;
+    /// Whether calls are given to a connection at once.
+    bool hasFreeConnections = true;
 };
 
 } // namespace mangoshift::testing
--- a/test/unit/slotscheduler_invariants_test.cpp
+++ b/test/unit/slotscheduler_invariants_test.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -60,6 +61,7 @@
         std::string target;
         Clock::time_point endsAt;
         CallOutcome outcome;
+        bool isSent = false;
     };
     struct TrackedRequest
     {
@@ -68,7 +70,10 @@
         int copies = 0;
         int unsent = 0;
         int inFlight = 0;
+        /// The copies in flight that their targets may have got.
+        int sentInFlight = 0;
         bool mayHaveRun = false;
+        bool isReportedNotRun = false;
 
         int extra() const { return std::max(copies - 1 - unsent, 0); }
     };
@@ -160,13 +165,28 @@
         m_now = end;
     }
 
+    /// Gives a call to a connection. Until then it has waited for one.
+    void sendCall(CallId call)
+    {
+        InFlightCall &inFlightCall = m_inFlightCalls.at(call);
+        if (std::exchange(inFlightCall.isSent, true))
+            return;
+        TrackedRequest &tracked = m_requests.at(inFlightCall.request);
+        REQUIRE_FALSE(tracked.isReportedNotRun);
+        ++tracked.sentInFlight;
+        m_scheduler.onCallSent(call);
+    }
+
     void endCall(CallId call)
     {
+        if (m_inFlightCalls.at(call).outcome.wasSent)
+            sendCall(call);
         InFlightCall inFlightCall = std::move(m_inFlightCalls.at(call));
         m_inFlightCalls.erase(call);
         --m_inUse[inFlightCall.target];
         TrackedRequest &tracked = m_requests.at(inFlightCall.request);
         --tracked.inFlight;
+        tracked.sentInFlight -= inFlightCall.isSent ? 1 : 0;
         const int before = tracked.extra();
         tracked.unsent += inFlightCall.outcome.wasSent ? 0 : 1;
         m_extraCopies += tracked.extra() - before;
@@ -225,13 +245,18 @@
         const milliseconds latency(randomInt(0, 9) == 0 ? randomInt(1, 200) : randomInt(1, 6));
         m_inFlightCalls[send.call] = {send.request.id, target.name, m_now + latency,
                                       randomOutcome()};
+        if (m_inFlightCalls[send.call].outcome.wasSent && randomInt(0, 4) != 0)
+            sendCall(send.call);
     }
 
     void on(const CancelCall &cancel)
     {
         InFlightCall &inFlightCall = m_inFlightCalls.at(cancel.call);
         inFlightCall.endsAt = std::min(inFlightCall.endsAt, m_now + milliseconds(randomInt(0, 25)));
-        if (randomInt(0, 1) == 0)
+        if (!inFlightCall.isSent)
+            inFlightCall.outcome = {
+                {Execution::NotRun, Reason::Cancelled}, 0, {}, "", false, false};
+        else if (randomInt(0, 1) == 0)
             inFlightCall.outcome = {
                 {Execution::MayHaveRun, Reason::Cancelled}, 0, {}, "", true, true};
     }
@@ -241,10 +266,9 @@
         TrackedRequest &tracked = m_requests.at(reply.request);
         REQUIRE(++tracked.replies == 1);
         REQUIRE(m_now <= tracked.request.deadline);
-        if (reply.outcome.verdict.execution == Execution::NotRun) {
-            REQUIRE_FALSE(tracked.mayHaveRun);
-            REQUIRE(tracked.inFlight == 0);
-        }
+        const bool isNotRun = reply.outcome.verdict.execution == Execution::NotRun;
+        REQUIRE(isNotRun == !(tracked.mayHaveRun || tracked.sentInFlight > 0));
+        tracked.isReportedNotRun = isNotRun;
     }
 
     void on(const ArmSchedulerTimer &arm) { m_timer = arm.at; }
