Send waiting calls in turns, and refuse at once what gets none

Cause: `isDueBefore` put a call whose latency target had passed behind every newer one until its deadline, and nothing asked whether a call could still end. In `sendWaiting` a call that had tried the only free target also held up all behind it.

Ruled out: a slow or lost target (none was sent the first kind), the wait for a connection (the traces have `waits`).

Change: `WaitingTurns` decides: calls that can still be in time first, by that time; the others get the turns that are left, one in 16 at least. A call is refused as not run, with Retry-After, when it cannot end by its deadline (one and a half times its usual latency before it), or when at the rate of the recent turns it would not get its turn before that: on arrival, at a timer, or at the review that runs ten times a second. A fan-out that would lack parts for this reason is refused before any part is sent. A pause is waited for only if the call can end after it. New metric: how long calls wait and why that ends.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -58,6 +58,10 @@
                        .Register(*m_registry))
     , entrySends(counters(*m_registry, "mangoshift_entry_sends_total",
                           "Requests given to targets, and extra ones denied"))
+    , entryWaitSeconds(prometheus::BuildHistogram()
+                           .Name("mangoshift_entry_wait_duration_seconds")
+                           .Help("Time that calls waited inside this VM for a target")
+                           .Register(*m_registry))
     , targetNotices(counters(*m_registry, "mangoshift_target_notices_total",
                              "Targets that said they leave, asked for a pause, or named a limit"))
     , targetLimit(gauges(*m_registry, "mangoshift_target_limit",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -62,6 +62,9 @@
     /// Requests that this entry VM sent to targets, by `cause` (`first`, `hedge`, `retry`);
     /// `denied` counts extra requests that were not sent because the budget was exhausted.
     prometheus::Family<prometheus::Counter> &entrySends;
+    /// How long calls waited inside this VM for a target, in seconds, by `end`: `sent`, `dropped`
+    /// (the request has ended without it), or why it was refused.
+    prometheus::Family<prometheus::Histogram> &entryWaitSeconds;
     /// What targets have said about themselves, by `kind` (`leaving`, `pause`, `limit`), once a
     /// target and pause or change of its limit.
     prometheus::Family<prometheus::Counter> &targetNotices;
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -86,6 +86,20 @@
     return forwarded;
 }
 
+const char *nameOf(TargetAbsence::Cause cause)
+{
+    static constexpr std::array names{"no_target", "leaving", "failing", "limited",
+                                      "paused",    "no_turn", "no_time"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
+/// Returns whether a call is refused because it cannot be served in its time.
+bool isTurnedAway(const TargetAbsence &absence)
+{
+    return absence.cause == TargetAbsence::Cause::NoTurn
+        || absence.cause == TargetAbsence::Cause::NoTime;
+}
+
 Clock::duration shareOf(milliseconds whole, double share)
 {
     return std::chrono::duration_cast<Clock::duration>(
@@ -162,9 +176,14 @@
         return false;
     std::vector<Clock::duration> waits;
     waits.reserve(m_parts.size());
-    for (const Part &part : m_parts)
+    const WaitingTerms terms{m_partialAnswerFrom, m_request.deadline, m_expectedLatency};
+    std::size_t servableParts = 0;
+    for (const Part &part : m_parts) {
         waits.push_back(m_state.directory.expectedWait(part.service, m_expectedLatency, now));
-    return !canFinishInTime(waits, m_expectedLatency, m_partialAnswerFrom - now, m_minParts);
+        servableParts += m_state.directory.canGetTurn(part.service, terms, now) ? 1 : 0;
+    }
+    return servableParts < m_minParts
+        || !canFinishInTime(waits, m_expectedLatency, m_partialAnswerFrom - now, m_minParts);
 }
 
 void RequestExchange::start()
@@ -337,8 +356,9 @@
             self->onReply(index, target, std::move(reply));
     };
     call.leavesOutEjected = fanOut() == nullptr;
-    call.waitLimit =
-        fanOut() != nullptr ? m_partialAnswerFrom : m_request.deadline - m_expectedLatency;
+    call.waitLimit = call.waitingTerms().latestStart();
+    if (fanOut() != nullptr)
+        call.waitLimit = std::min(call.waitLimit, m_partialAnswerFrom);
     // An answer that is late in any case is worth a short wait.
     call.permitLimit = std::min(
         std::max(m_partialAnswerFrom - m_expectedLatency, now + LatePermitWait), call.waitLimit);
@@ -352,6 +372,8 @@
     };
     const auto [state, absence, isStalled] = m_state.directory.call(std::move(call), now);
     if (state == CallState::NoTarget) {
+        if (isTurnedAway(absence))
+            recordWait(Clock::duration::zero(), nameOf(absence.cause));
         addAbsenceToTrace(part, absence);
         return onUnsent(action, noTargetVerdict(absence, now), now);
     }
@@ -366,23 +388,35 @@
     if (payment == Payment::Share)
         m_state.budgets.share(part.service).trySpend(now);
     part.isWaiting = state == CallState::Waiting;
+    part.waitingSince = now;
     countSend(action.cause);
     return isStalled ? m_machine->onStalled(action.part, true, now) : RequestActions{};
 }
 
 void RequestExchange::addAbsenceToTrace(const Part &part, const TargetAbsence &absence)
 {
-    static constexpr std::array causeNames{"no_target", "leaving", "failing", "limited", "paused"};
-    addToTrace("not_sent", part.service, {},
-               causeNames.at(static_cast<std::size_t>(absence.cause)));
+    addToTrace("not_sent", part.service, {}, nameOf(absence.cause));
+}
+
+void RequestExchange::recordWait(Clock::duration wait, const char *end) const
+{
+    m_state.metrics.entryWaitSeconds.Add({{"end", end}}, latencyBuckets())
+        .Observe(std::chrono::duration<double>(wait).count());
+}
+
+void RequestExchange::endWait(Part &part, const char *end, Clock::time_point now) const
+{
+    if (std::exchange(part.isWaiting, false))
+        recordWait(now - part.waitingSince, end);
 }
 
 Verdict RequestExchange::noTargetVerdict(const TargetAbsence &absence, Clock::time_point now) const
 {
     const Clock::duration delay =
         absence.endsAt ? *absence.endsAt - now : Clock::duration(NoReplicaRetryAfter);
-    const bool isLimited = absence.cause == TargetAbsence::Cause::Limited;
-    return {Execution::NotRun, isLimited ? Reason::Overloaded : Reason::NoReplica,
+    const bool isOverloaded =
+        absence.cause == TargetAbsence::Cause::Limited || isTurnedAway(absence);
+    return {Execution::NotRun, isOverloaded ? Reason::Overloaded : Reason::NoReplica,
             retryDelay(delay, m_request.route->priority, m_state.draw())};
 }
 
@@ -401,7 +435,7 @@
         return;
     const Clock::time_point now = Clock::now();
     Part &part = m_parts[action.part];
-    part.isWaiting = false;
+    endWait(part, nameOf(absence.cause), now);
     addAbsenceToTrace(part, absence);
     perform(onUnsent(action, noTargetVerdict(absence, now), now));
 }
@@ -436,7 +470,7 @@
     if (state.hasFirstCopy || state.isWaiting)
         addToTrace("sent", state.service, target->info.id, state.hasFirstCopy ? "extra" : "waited");
     state.copies.push_back({target, call, true});
-    state.isWaiting = false;
+    endWait(state, "sent", now);
     state.hasFirstCopy = true;
     m_machine->onStalled(part, false, now);
 }
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -58,6 +58,7 @@
         /// The copies that were sent to a target.
         std::vector<Copy> copies;
         bool isWaiting = false;
+        Clock::time_point waitingSince{};
         /// Whether a copy was given to a target's connections, so that another one is extra.
         bool hasFirstCopy = false;
         /// Whether a response that counts as an answer has arrived.
@@ -75,6 +76,9 @@
     void countSend(SendCause cause);
     /// Adds to the trace why there is no target for a part.
     void addAbsenceToTrace(const Part &part, const TargetAbsence &absence);
+    /// Records how long a call waited inside this VM and why that ended.
+    void recordWait(Clock::duration wait, const char *end) const;
+    void endWait(Part &part, const char *end, Clock::time_point now) const;
     /// Returns the verdict on what no target can take.
     Verdict noTargetVerdict(const TargetAbsence &absence, Clock::time_point now) const;
     /// Handles a waiting part for which no target is left.
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -137,9 +137,11 @@
 {
     m_isFinished = true;
     m_timer.cancel();
-    for (const Part &part : m_parts) {
+    const Clock::time_point now = Clock::now();
+    for (Part &part : m_parts) {
         if (part.isWaiting)
             m_state.directory.dropWaiting(part.service, m_forwarded);
+        endWait(part, "dropped", now);
         for (const Copy &copy : part.copies)
             if (copy.isPending)
                 copy.target->channels.abandon(copy.call, gracePeriod);
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -44,6 +44,7 @@
     , m_standings(MaxStandings)
     , m_permits(io, std::move(requestFromPool))
     , m_permitTimer(io)
+    , m_lateTimer(io)
     , m_random(std::random_device{}())
 {
 }
@@ -117,8 +118,10 @@
     m_byLimitKey.erase(handle->limitKey);
     auto &service = m_byService[handle->info.service];
     std::erase(service, handle);
-    if (service.empty())
+    if (service.empty()) {
         m_byService.erase(handle->info.service);
+        m_turns.erase(handle->info.service);
+    }
     handle->channels.retire();
     m_retired.push_back(handle);
     logEvent(LogLevel::Info, "target_delisted",
@@ -294,7 +297,8 @@
     call.isStalled = found.areAllEjected();
     const CallOutcome outcome{CallState::Waiting, {}, call.isStalled};
     const std::string service = call.service;
-    m_waiting[service].push_back(std::move(call));
+    if (const auto refusal = enqueue(std::move(call), !found.handles.empty(), now))
+        return {CallState::NoTarget, *refusal};
     if (!found.limited.empty())
         requestPermitsForWaiting(service, now);
     return outcome;
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include <asio/basic_waitable_timer.hpp>
@@ -20,6 +21,7 @@
 #include "mangoshift/targetload.h"
 #include "mangoshift/targetregistry.h"
 #include "mangoshift/targetstanding.h"
+#include "mangoshift/waitingturns.h"
 
 namespace mangoshift {
 
@@ -62,6 +64,8 @@
         Failing, ///< A target fails, and another request is probing it.
         Limited, ///< A target has named a limit, and no request is left within it.
         Paused, ///< A target has asked for a pause that is too long for the call.
+        NoTurn, ///< More calls are ahead than can be sent in time.
+        NoTime, ///< The call cannot end by its deadline any more.
     };
     Cause cause = Cause::None;
     /// When the first target may get requests again; no value if that is not known.
@@ -88,8 +92,7 @@
     ForwardedRequestPtr request;
     /// Targets that must not be picked.
     std::vector<TargetHandlePtr> triedTargets;
-    /// Until when an answer is of full use to the caller. Waiting calls are sent in the order of
-    /// this time; those for which it has passed are sent last.
+    /// Until when an answer is of full use to the caller; see `WaitingTurns`.
     Clock::time_point usefulUntil;
     /// Whether the call may wait for a target with a free slot.
     bool canWait = true;
@@ -126,6 +129,8 @@
     std::function<void(bool isStalled)> onStalled;
     /// What `onStalled` was last called with.
     bool isStalled = false;
+
+    WaitingTerms waitingTerms() const { return {usefulUntil, request->deadline, expectedLatency}; }
 };
 
 /// Returns whether a response cannot be the target's own: it is encoded, or succeeds without a
@@ -194,10 +199,13 @@
     /// Records that the response to a call is overdue.
     void onOverdue(const TargetHandlePtr &target, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
-    /// `callLatency`; zero if no call waits. Calls that are already late do not count, as they are
-    /// sent last.
+    /// `callLatency`; zero if no call waits. Calls that will be late in any case do not count, as
+    /// they get few turns.
     Clock::duration expectedWait(const std::string &service, Clock::duration callLatency,
                                  Clock::time_point now) const;
+    /// Returns whether another call to a service would get its turn in time if it had to wait.
+    bool canGetTurn(const std::string &service, const WaitingTerms &call,
+                    Clock::time_point now) const;
     /// Returns whether a target of a service can be sent a call now.
     bool hasFreeSlot(const std::string &service, Clock::time_point now) const;
     /// Returns how many times as long as usual the fastest target of a service takes, 1 at least.
@@ -262,6 +270,18 @@
                        const TargetCallResult &reply, Clock::time_point now);
     /// Marks a target whose address now belongs to another target.
     static void onMisdirected(TargetHandle &target, Clock::time_point now);
+    /// Starts to wait with a call. Returns why it cannot get its turn in time instead.
+    std::optional<TargetAbsence> enqueue(ServiceCall call, bool needsSlotOnly,
+                                         Clock::time_point now);
+    /// Returns why a call ends that is refused, and when the `waiting` calls have been sent.
+    static TargetAbsence refusalOf(WaitingTurns::Refusal why, const WaitingTurns &turns,
+                                   std::size_t waiting, Clock::time_point now);
+    /// Tells the owners of calls, which no longer wait, why they were not sent.
+    void endWaiting(const std::vector<std::pair<ServiceCall, TargetAbsence>> &ended);
+    /// Ends the waiting calls that cannot end by their deadlines any more, and arranges that this
+    /// is done again when the next one comes to that.
+    void refuseLate(Clock::time_point now);
+    void armLateTimer(Clock::time_point at);
     /// Sends waiting calls to a service while its targets have free slots.
     void sendWaiting(const std::string &service, Clock::time_point now);
     /// Does the same, ends the waiting calls for which no target is left, and reports those that
@@ -287,6 +307,10 @@
     Clock::time_point m_limitsReportedAt{};
     /// Calls that wait for a free slot, or for the end of a pause, by service.
     std::unordered_map<std::string, std::vector<ServiceCall>> m_waiting;
+    std::unordered_map<std::string, WaitingTurns> m_turns;
+    asio::basic_waitable_timer<Clock> m_lateTimer;
+    /// When `m_lateTimer` expires.
+    Clock::time_point m_lateTimerAt = Clock::time_point::max();
     /// Targets that were removed from the registry and still have calls in flight.
     std::vector<TargetHandlePtr> m_retired;
     std::minstd_rand m_random;
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -222,6 +222,14 @@
         REQUIRE(result);
         return nlohmann::json::parse(result->body);
     }
+    /// Returns the metrics of the first VM.
+    std::string metrics()
+    {
+        const auto result =
+            httplib::Client(loopbackIp(lastOctetOf(1)), OperatorPort).Get("/metrics");
+        REQUIRE(result);
+        return result->body;
+    }
     /// Returns the `registry` object from the state dump of a VM.
     nlohmann::json registry(int vm) { return state(vm).at("registry"); }
 
--- a/test/system/waiting_test.cpp
+++ b/test/system/waiting_test.cpp
@@ -29,6 +29,7 @@
     int status = 0;
     std::string execution;
     bool hasRetryAfter = false;
+    std::chrono::milliseconds took{};
 };
 
 /// Returns orders with ids that start with `name`. Each has `stepMs` more time than the one before.
@@ -48,9 +49,12 @@
     pending.reserve(orders.size());
     for (const Order &order : orders)
         pending.push_back(std::async(std::launch::async, [&system, order] {
+            const auto sentAt = std::chrono::steady_clock::now();
             const auto response =
                 system.sendRequest("POST", "/orders/x", order.id, 1, order.deadlineMs);
             AnsweredOrder answered;
+            answered.took = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - sentAt);
             answered.id = order.id;
             if (!response)
                 return answered;
@@ -138,3 +142,30 @@
         checkVerdicts(system, sendAtOnce(system, ordersOf("mixed", 40, 60, 47)));
     }
 }
+
+TEST_CASE("An order that waits for a target is sent in time or refused before its time is up")
+{
+    constexpr int workMs = 300;
+    constexpr int deadlineMs = 2000;
+    EntrySystem system;
+    system.setTargetMode("i-oa", "late=" + std::to_string(workMs));
+    system.setTargetMode("i-ob", "late=" + std::to_string(workMs));
+    for (const AnsweredOrder &answer : sendAtOnce(system, ordersOf("usual", 8, 4000)))
+        CHECK(answer.status == 200);
+
+    // The targets, with two slots each, bear about half of these.
+    const auto answers = sendAtOnce(system, ordersOf("pressed", 50, deadlineMs));
+    const int unrun = checkVerdicts(system, answers);
+    CHECK(unrun > 0);
+    CHECK(unrun < 50);
+    for (const AnsweredOrder &answer : answers) {
+        INFO(answer.id << " status " << answer.status << " " << answer.execution);
+        // None is sent that cannot end in its time, and none is held while it cannot be served.
+        CHECK((answer.status == 200 || answer.status == 503));
+        if (answer.status == 503)
+            CHECK(answer.took.count() <= deadlineMs - workMs);
+    }
+    const std::string metrics = system.metrics();
+    CHECK(metrics.find("mangoshift_entry_wait_duration_seconds_count{end=\"sent\"}")
+          != std::string::npos);
+}
