Leave a pause before the first turn out of the rate of turns

What callers would see: after a pause or a failure of all targets of a service, calls refused as `no_turn` although the targets send again: the time until the first waiting call was sent counted as an interval between turns, and the first eight intervals were averaged as they came.

Evidence: `unittests "A waiting call is refused"`, one second of pause and then a turn each 10 ms: ten turns were expected to take 1,213.75 ms instead of 100 ms.

Change: the time to the first turn of a queue is left out, and each interval after the first is bounded by four times the average, not only from the ninth on. Two sections of the test give one turn more, as a rate needs eight intervals.

--- a/include/mangoshift/waitingturns.h
+++ b/include/mangoshift/waitingturns.h
@@ -71,8 +71,10 @@
 private:
     /// The turns since a call that will be late was sent.
     std::uint32_t m_turnsSinceLate = 0;
-    /// The turns that the interval is known from.
-    std::uint32_t m_turns = 0;
+    /// The intervals that the average is known from, up to the number that it reaches back.
+    int m_intervals = 0;
+    /// Whether no call was sent since calls wait.
+    bool m_isFirstTurn = true;
     /// The moving average of the time between two turns while calls wait.
     Clock::duration m_interval{};
     Clock::time_point m_lastTurnAt{};
--- a/src/core/waitingturns.cpp
+++ b/src/core/waitingturns.cpp
@@ -1,6 +1,7 @@
 #include "mangoshift/waitingturns.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangoshift {
 
@@ -10,13 +11,13 @@
 /// usual latency is a median.
 constexpr double LatencyMargin = 1.5;
 /// The weight of the newest turn in the moving average: the last dozen or so decide.
-constexpr int TurnsAveraged = 10;
+constexpr int IntervalsAveraged = 10;
 /// A longer time between turns counts as this many times the average. A target that pauses does not
 /// make all of the waiting calls seem hopeless.
 constexpr int MaxIntervalGrowth = 4;
 constexpr Clock::duration MinInterval = std::chrono::milliseconds(1);
-/// The number of turns from which on their rate is used.
-constexpr std::uint32_t MinTurns = 8;
+/// The number of intervals between turns from which on their rate is used.
+constexpr int MinIntervals = 8;
 /// The rate of turns is forgotten if no call has waited for so long.
 constexpr std::chrono::seconds RateLifetime{1};
 
@@ -77,27 +78,28 @@
     if (!isFirst)
         return;
     if (now - m_lastTurnAt > RateLifetime)
-        m_turns = 0;
+        m_intervals = 0;
     m_lastTurnAt = now;
+    m_isFirstTurn = true;
 }
 
 void WaitingTurns::onSent(const WaitingTerms &call, Clock::time_point now)
 {
     m_turnsSinceLate = call.canBeInTime(now) ? m_turnsSinceLate + 1 : 0;
-    const Clock::duration since = std::max(now - m_lastTurnAt, Clock::duration::zero());
+    Clock::duration interval = std::max(now - m_lastTurnAt, Clock::duration::zero());
     m_lastTurnAt = now;
-    if (m_turns < MinTurns)
-        m_interval = (m_interval * m_turns + since) / (m_turns + 1);
-    else
-        m_interval +=
-            (std::min(since, std::max(m_interval, MinInterval) * MaxIntervalGrowth) - m_interval)
-            / TurnsAveraged;
-    ++m_turns;
+    // The first call may have waited for a pause to end, or for targets that failed.
+    if (std::exchange(m_isFirstTurn, false))
+        return;
+    if (m_intervals > 0)
+        interval = std::min(interval, std::max(m_interval, MinInterval) * MaxIntervalGrowth);
+    m_intervals = std::min(m_intervals + 1, IntervalsAveraged);
+    m_interval += (interval - m_interval) / m_intervals;
 }
 
 std::optional<Clock::duration> WaitingTurns::timeForTurns(std::size_t calls) const
 {
-    if (m_turns < MinTurns)
+    if (m_intervals < MinIntervals)
         return std::nullopt;
     return m_interval * static_cast<Clock::duration::rep>(calls);
 }
--- a/test/unit/waitingturns_test.cpp
+++ b/test/unit/waitingturns_test.cpp
@@ -204,9 +204,9 @@
     }
     SECTION("when it would get its turn too late")
     {
-        turns.onQueued(true, Start - 80ms);
-        for (int turn = 1; turn <= 8; ++turn)
-            turns.onSent(termsOf(1s, 2s), Start - 80ms + turn * 10ms);
+        turns.onQueued(true, Start - 90ms);
+        for (int turn = 1; turn <= 9; ++turn)
+            turns.onSent(termsOf(1s, 2s), Start - 90ms + turn * 10ms);
         const std::vector<WaitingTerms> calls(12, termsOf(40ms, 100ms));
         const auto plan = turns.plan(calls, Start);
         CHECK(plan.turns.size() == 11);
@@ -223,14 +223,23 @@
     }
     SECTION("but not for a pause of the targets while calls wait")
     {
-        turns.onQueued(true, Start - 580ms);
-        for (int turn = 1; turn <= 8; ++turn)
-            turns.onSent(termsOf(1s, 2s), Start - 580ms + turn * 10ms);
+        turns.onQueued(true, Start - 590ms);
+        for (int turn = 1; turn <= 9; ++turn)
+            turns.onSent(termsOf(1s, 2s), Start - 590ms + turn * 10ms);
         turns.onSent(termsOf(1s, 2s), Start);
         const auto wait = turns.timeForTurns(10);
         REQUIRE(wait);
         CHECK(*wait <= 150ms);
     }
+    SECTION("but not for a pause that had begun before calls waited")
+    {
+        turns.onQueued(true, Start - 1s);
+        for (int turn = 0; turn <= 8; ++turn)
+            turns.onSent(termsOf(1s, 2s), Start + turn * 10ms);
+        const auto wait = turns.timeForTurns(10);
+        REQUIRE(wait);
+        CHECK(*wait == 100ms);
+    }
 }
 
 TEST_CASE("Each call that waits is sent in time or refused as soon as that is known")
