--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -62,8 +62,9 @@
         /// The copies that were sent to a target.
         std::vector<Copy> copies;
         bool isWaiting = false;
-        /// Whether any copy has arrived, or may still arrive, at a target.
-        bool mayHaveArrived = false;
+        Clock::time_point waitingSince{};
+        /// Whether a copy was given to a target's connections, so that another one is extra.
+        bool hasFirstCopy = false;
         /// Whether a response that counts as an answer has arrived.
         bool isAnswered = false;
         /// The receipt in that response. A part of a merged answer always has one.
@@ -79,6 +80,9 @@
     void countSend(SendCause cause);
     /// Adds to the trace why there is no target for a part.
     void addAbsenceToTrace(const Part &part, const TargetAbsence &absence);
+    /// Records how long a call waited inside this VM and why that ended.
+    void recordWait(Clock::duration wait, const char *end) const;
+    void endWait(Part &part, const char *end, Clock::time_point now) const;
     /// Returns the verdict on what no target can take.
     Verdict noTargetVerdict(const TargetAbsence &absence, Clock::time_point now) const;
     /// Handles a waiting part for which no target is left.
@@ -105,7 +109,7 @@
     void respondWithAnswer();
     HttpResponse mergedAnswer() const;
     HttpResponse forwardedAnswer() const;
-    void respondWithFailure(const Verdict &verdict);
+    void respondWithFailure(Verdict verdict);
     /// Ends the calls in flight after a grace period, in which their responses are still received.
     void abandonCalls(Clock::duration gracePeriod);
     /// Takes back the parts that wait for a target.
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -21,8 +21,9 @@
 /// How long the reply to a copy that is no longer needed is waited for before its connection counts
 /// as silent: several times the length of the targets' pauses.
 constexpr milliseconds UnneededReplyTimeout{1500};
-/// When a caller should repeat a request that was ended before it was sent.
-constexpr milliseconds UnsentRetryAfter{100};
+/// When a caller should retry a request that waited in this VM until its time was up: a queue that
+/// delayed one request has then drained.
+constexpr milliseconds UnsentRetryAfter{300};
 /// The greatest length of a request's trace; the first decisions usually explain the later ones.
 constexpr std::size_t MaxTraceBytes = 600;
 /// One in this many ordinary requests is logged.
@@ -100,8 +101,11 @@
     finish(UnneededReplyTimeout);
 }
 
-void RequestExchange::respondWithFailure(const Verdict &verdict)
+void RequestExchange::respondWithFailure(Verdict verdict)
 {
+    if (verdict.execution == Execution::NotRun && verdict.retryAfter.count() == 0)
+        verdict.retryAfter =
+            retryDelay(UnsentRetryAfter, m_request.route->priority, m_state.draw());
     if (fanOut() == nullptr && m_response && verdict.execution == Execution::Ran) {
         recordOutcome(m_response->status, "target_failure", verdict);
         m_request.connection->respond(forwardedAnswer());
@@ -158,10 +162,12 @@
 {
     for (std::size_t i = 0; i < m_parts.size() && !m_isFinished; ++i) {
         Part &part = m_parts[i];
-        if (!std::exchange(part.isWaiting, false))
+        if (!part.isWaiting)
             continue;
+        const Clock::time_point now = Clock::now();
         m_state.directory.dropWaiting(part.service, m_forwarded);
-        perform(m_machine->onUnsent(i, {Execution::NotRun, Reason::Cancelled}, Clock::now()));
+        endWait(part, "dropped", now);
+        perform(m_machine->onUnsent(i, {Execution::NotRun, Reason::Cancelled}, now));
     }
 }
 
@@ -169,27 +175,24 @@
 {
     if (m_isFinished)
         return;
-    if (m_machine->answeredParts() >= m_minParts) {
+    if (m_machine->answeredParts() >= m_minParts)
         respondWithAnswer();
-        return;
-    }
-    const bool hasSent = std::any_of(m_parts.begin(), m_parts.end(),
-                                     [](const Part &part) { return part.mayHaveArrived; });
-    if (hasSent)
-        respondWithFailure({Execution::MayHaveRun, reason});
     else
-        respondWithFailure({Execution::NotRun, reason, UnsentRetryAfter});
+        respondWithFailure(m_machine->failureNow(reason));
 }
 
 void RequestExchange::finish(milliseconds gracePeriod)
 {
     m_isFinished = true;
     m_timer.cancel();
-    for (const Part &part : m_parts)
+    const Clock::time_point now = Clock::now();
+    for (Part &part : m_parts) {
         if (part.isWaiting)
             m_state.directory.dropWaiting(part.service, m_forwarded);
+        endWait(part, "dropped", now);
+    }
     const Clock::duration untilCallerLeftEnd =
-        m_callerLeftEnd.value_or(Clock::time_point::max()) - Clock::now();
+        m_callerLeftEnd.value_or(Clock::time_point::max()) - now;
     abandonCalls(std::clamp<Clock::duration>(untilCallerLeftEnd, milliseconds(0), gracePeriod));
     m_onFinished(shared_from_this());
 }
--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -223,7 +223,7 @@
     early.send(order + "first\r\n\r\n");
     REQUIRE(early.receives("X-Request-Id: first"));
 
-    system.publishConfiguration(2, "s1", std::chrono::milliseconds(1));
+    system.publishConfiguration(2, "s1", 26, std::chrono::milliseconds(1));
     REQUIRE(eventually(
         [&system] { return contains(system.log(), "event=configuration_adopted version=2"); }));
     RawConnection late(system.callerAddress());
