Use limited targets beside others, and hear when a limit ends

Callers saw no error: a target that had named a limit once (Server-Limit) got nothing any more as long as its service had targets without one. Its load fell on these, also when the limit was long over; no counter showed it.

Cause: permits were asked for by waiting calls only, and a call waits only if no target is open. So no request that had a choice asked for one, and a limit ends only by a response that names none.

Change: - LimitShare: each request with a choice owes the limited target its part. A VM asks every 200 ms for the permits of the next interval, as many as were owed, those of all targets in one frame, at the lowest rank; the target gets the next request when a whole one is owed. Queries no longer ask for permits that they can do without. - A limit that a VM has not heard for 2 s is in doubt: the next request with a choice asks for a permit itself, waits for it for 10 ms at most, and its response renews or ends the limit. - LimitPool grants one permit ahead of its time if no VM of the domain heard the limit, or was granted a permit, for 4.6 s, so that a limit of 0 is found to have ended. The domains do so one after the other within 2 s, and tell each other when the limit was heard. A new owner does so only when all VMs agree on it. Permits denied to requests with a choice count for borrowing, not against lending. - Metric mangoshift_target_limit_unused_seconds, event target_limit_unused; `mangoshift explain` names the limits in force where they turned a request away.

Tried and replaced: probes of all domains at the same moment, which would have been up to one a domain in four seconds at a limit of 0.

--- a/include/mangoshift/limitpool.h
+++ b/include/mangoshift/limitpool.h
@@ -112,16 +112,26 @@
     /// A target that names a lower limit, or zero, gets requests at this rate of all VMs together,
     /// in requests a second, as it can end its limit in a response only.
     static constexpr double MinLimit = 0.25;
+    /// A limit that no VM of the domain has heard for this long, nor was granted a permit for, may
+    /// have ended. One permit is then granted ahead of its time, so that a response renews or ends
+    /// the limit. Longer than the four seconds in which limits are counted and the lifetime of a
+    /// permit.
+    static constexpr std::chrono::milliseconds ProbeTime{4600};
+    /// The domains do so one after the other within this time, so that the response to one of them
+    /// spares the others theirs.
+    static constexpr std::chrono::milliseconds ProbeSpread{2000};
 
     /// `failureDomains` is the number of failure domains that share each limit.
     explicit LimitPool(std::size_t failureDomains);
 
     /// Raises the number of failure domains that share each limit; a lower number is ignored.
     void growFailureDomains(std::size_t failureDomains);
+    /// Sets the place of this domain among `domains` that reach each other, counted from zero.
+    void setPlace(std::size_t place, std::size_t domains);
     /// Sets whether this VM owns the pool; at first it does not.
     void setIsOwner(bool isOwner, Clock::time_point now);
     PermitOutcome grant(const PermitAsk &ask, Clock::time_point now);
-    /// Returns the targets for which requests were denied lately, and that may be borrowed for.
+    /// Returns the targets for which permits were denied lately, and that may be borrowed for.
     std::vector<HeardLimit> wantedLoans(Clock::time_point now);
     /// Returns what this domain lends to another one of what it has no use for.
     std::vector<LimitLoan> lend(const std::vector<HeardLimit> &wanted, Clock::time_point now);
@@ -143,9 +153,14 @@
         Clock::time_point heardAt{};
         /// Below zero if permits have been granted that will be due later.
         double permits = 0.0;
-        /// Decaying counts of the permits that were granted and denied.
+        /// Decaying counts of the permits that were granted and denied, and of those denied to
+        /// requests that can do without.
         double granted = 0.0;
         double denied = 0.0;
+        double spareDenied = 0.0;
+        /// When the last permit became or becomes valid, or a time before which no permit may be
+        /// granted ahead of its time.
+        Clock::time_point lastPermitAt{};
         /// Loans from other domains, with a positive rate, and to them, with a negative one.
         std::vector<RateChange> loans;
         Clock::time_point updatedAt{};
@@ -173,8 +188,10 @@
     /// Returns when the part would be granted a permit if all that were denied got one first.
     std::chrono::milliseconds expectedWait(const std::vector<HeardLimit> &part,
                                            std::uint32_t priority) const;
-    /// Counts a permit that a part was denied.
-    void countDenied(const std::vector<HeardLimit> &part);
+    /// Counts a permit that a part was denied in one of the counts of an account.
+    void countDenied(const std::vector<HeardLimit> &part, double Account::*count);
+    /// Takes a granted permit from its account.
+    void charge(const Permit &permit, Clock::time_point now);
     /// Returns when `lacking` more of the denied parts would be granted permits; no value if they
     /// are fewer.
     std::optional<std::chrono::milliseconds>
@@ -183,6 +200,8 @@
     void forgetUnused(Clock::time_point now);
 
     std::size_t m_failureDomains;
+    /// How much longer than `ProbeTime` this domain leaves a limit in doubt.
+    std::chrono::milliseconds m_probeDelay{0};
     bool m_isOwner = false;
     double m_rateShare = 1.0;
     Clock::time_point m_grantsStartAt = Clock::time_point::max();
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -12,7 +12,7 @@
 
 /// Events that describe the state of a VM, each with the name of its group. Only the latest event
 /// of a group is reported. An event without a group name is a group by itself, and each target has
-/// a group `target` and a group `limit` of its own.
+/// a group `target`, `limit` and `unused limit` of its own.
 const std::map<std::string, std::string> BackgroundEvents{{"vm_started", ""},
                                                           {"vm_ready", ""},
                                                           {"vm_not_ready", ""},
@@ -32,6 +32,7 @@
                                                           {"target_limit_named", "limit"},
                                                           {"target_limit_changed", "limit"},
                                                           {"target_limit_ended", "limit"},
+                                                          {"target_limit_unused", "unused limit"},
                                                           {"target_answers", "target"},
                                                           {"retry_budget_spent", "budget"},
                                                           {"retry_budget_back", "budget"}};
@@ -206,10 +207,39 @@
     return text;
 }
 
+/// Returns whether the limits of targets turned a request, or a part of it, away.
+bool isTurnedAwayByLimits(const LogLine &endEvent)
+{
+    const auto texts = split(endEvent.value("trace"), ';');
+    return std::any_of(texts.begin(), texts.end(), [](const std::string &text) {
+        const auto decision = parseDecision(text);
+        return decision && (decision->action == "no_permits" || decision->reason == "limited");
+    });
+}
+
 /// The latest event of each group of `BackgroundEvents`, by the name of the group, or of the event
 /// if it has no group name.
 using Background = std::map<std::string, LogLine>;
 
+/// Returns the limits that the targets of some services have named, as one sentence; empty if there
+/// are none.
+std::string limitsOf(const std::vector<std::string> &services, const Background &background)
+{
+    std::string text;
+    for (const auto &[key, line] : background) {
+        const bool isInForce =
+            line.event == "target_limit_named" || line.event == "target_limit_changed";
+        if (!isInForce
+            || !std::binary_search(services.begin(), services.end(), line.value("service")))
+            continue;
+        text +=
+            (text.empty() ? " Limits in force, in requests a second of all VMs together: " : ", ")
+            + line.value("target") + " of " + line.value("service") + " "
+            + line.value("limit_per_s");
+    }
+    return text.empty() ? text : text + ".";
+}
+
 Explanation explain(const std::string &vm, const LogLine &endEvent, const Background &background)
 {
     Explanation explanation{vm, endEvent, {}, {}, causeOf(endEvent)};
@@ -218,6 +248,8 @@
             explanation.steps.push_back(describe(*decision));
     const auto targets = failedTargetsOf(endEvent);
     const auto unsent = unsentServicesOf(endEvent);
+    if (isTurnedAwayByLimits(endEvent))
+        explanation.cause += limitsOf(unsent, background);
     const auto isAboutUnsent = [&unsent](const LogLine &line) {
         const bool closesTarget = line.event != "target_listed" && line.event != "target_answers"
             && line.event != "target_limit_ended";
@@ -263,7 +295,7 @@
             m_droppedLines += std::strtoull(line->value("lines").c_str(), nullptr, 10);
         if (const auto known = BackgroundEvents.find(line->event);
             known != BackgroundEvents.end()) {
-            const bool isOfTarget = known->second == "target" || known->second == "limit";
+            const bool isOfTarget = known->second == "target" || known->second.ends_with("limit");
             const std::string key = isOfTarget ? known->second + " " + line->value("target")
                 : known->second.empty()        ? line->event
                                                : known->second;
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -64,6 +64,9 @@
                          "Requests a second that a target takes from all VMs"))
     , targetLimitUse(gauges(*m_registry, "mangoshift_target_limit_use",
                             "Requests a second that this VM sends to a limited target"))
+    , targetLimitUnused(
+          gauges(*m_registry, "mangoshift_target_limit_unused_seconds",
+                 "Time in which a limited target got nothing of the requests it could have taken"))
     , permitAsks(counters(*m_registry, "mangoshift_permit_asks_total",
                           "Requests for permits to send to limited targets"))
     , ready(gauges(*m_registry, "mangoshift_ready", "One while this VM is ready").Add({}))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -69,6 +69,9 @@
     /// `target`; only while there is a limit.
     prometheus::Family<prometheus::Gauge> &targetLimit;
     prometheus::Family<prometheus::Gauge> &targetLimitUse;
+    /// For how many seconds this VM has sent a limited target nothing while other targets got
+    /// requests that it could have taken, by `target`; only while there is a limit.
+    prometheus::Family<prometheus::Gauge> &targetLimitUnused;
     /// Requests for permits to send to limited targets, by `outcome` (`granted`, `denied`).
     prometheus::Family<prometheus::Counter> &permitAsks;
     /// 1 while this VM is ready, otherwise 0.
--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -48,6 +48,13 @@
     m_failureDomains = std::max(m_failureDomains, failureDomains);
 }
 
+void LimitPool::setPlace(std::size_t place, std::size_t domains)
+{
+    // The step is as long with two domains as with three.
+    const auto steps = static_cast<std::int64_t>(std::max<std::size_t>(domains, 3) - 1);
+    m_probeDelay = ProbeSpread * static_cast<std::int64_t>(place) / steps;
+}
+
 void LimitPool::setIsOwner(bool isOwner, Clock::time_point now)
 {
     if (isOwner && !m_isOwner)
@@ -89,6 +96,7 @@
     std::erase_if(account.loans, [now](const RateChange &loan) { return loan.until <= now; });
     account.permits = std::min(account.permits + due, capacity(account));
     account.denied *= std::exp(-elapsed / CountMemory);
+    account.spareDenied *= std::exp(-elapsed / CountMemory);
     account.granted *= std::exp(-elapsed / CountMemory);
     account.updatedAt = now;
 }
@@ -110,8 +118,11 @@
     const auto [it, isNew] = m_accounts.try_emplace(heard.target);
     Account &account = it->second;
     const Clock::time_point heardAt = now - heard.age;
-    if (isNew)
+    if (isNew) {
         account.updatedAt = now;
+        // Until all VMs agree on the owner, an earlier one may grant such a permit.
+        account.lastPermitAt = m_grantsStartAt + NewOwnerTime - ProbeTime;
+    }
     accrue(account, now);
     if (isNew || heardAt > account.heardAt) {
         // A limit that is named anew starts without permits.
@@ -134,7 +145,13 @@
     if (!account.limit)
         return milliseconds(0);
     const double lacking = level(account, priority) + further - account.permits;
-    const Seconds wait(std::max(lacking, 0.0) / rate(account));
+    Seconds wait(std::max(lacking, 0.0) / rate(account));
+    if (further == 0.0) {
+        const Clock::time_point probeAt =
+            std::max(account.heardAt, account.lastPermitAt) + ProbeTime + m_probeDelay;
+        wait =
+            std::min<Seconds>(wait, std::max(probeAt - account.updatedAt, Clock::duration::zero()));
+    }
     return std::chrono::ceil<milliseconds>(std::min<Seconds>(wait, MaxWait));
 }
 
@@ -165,10 +182,20 @@
     return least;
 }
 
-void LimitPool::countDenied(const std::vector<HeardLimit> &part)
+void LimitPool::countDenied(const std::vector<HeardLimit> &part, double Account::*count)
 {
     for (const HeardLimit &heard : part)
-        m_accounts.at(heard.target).denied += 1.0 / static_cast<double>(part.size());
+        m_accounts.at(heard.target).*count += 1.0 / static_cast<double>(part.size());
+}
+
+void LimitPool::charge(const Permit &permit, Clock::time_point now)
+{
+    Account &account = m_accounts.at(permit.target);
+    if (!account.limit)
+        return;
+    account.permits -= 1.0;
+    account.granted += 1.0;
+    account.lastPermitAt = std::max(account.lastPermitAt, now + permit.validIn);
 }
 
 PermitOutcome LimitPool::grant(const PermitAsk &ask, Clock::time_point now)
@@ -190,6 +217,8 @@
             grantedNeeded += isNeeded ? 1 : 0;
         } else if (isNeeded) {
             deniedParts.push_back(&ask.parts[i]);
+        } else {
+            countDenied(ask.parts[i], &Account::spareDenied);
         }
     }
     outcome.isGranted = grantedNeeded >= ask.required;
@@ -198,12 +227,9 @@
         outcome.opensIn = opensIn(deniedParts, ask.required - grantedNeeded, ask.priority);
     }
     for (const Permit &permit : outcome.permits)
-        if (Account &account = m_accounts.at(permit.target); account.limit) {
-            account.permits -= 1.0;
-            account.granted += 1.0;
-        }
+        charge(permit, now);
     for (const auto *part : deniedParts)
-        countDenied(*part);
+        countDenied(*part, &Account::denied);
     return outcome;
 }
 
@@ -229,7 +255,7 @@
         return wanted;
     for (auto &[target, account] : m_accounts) {
         accrue(account, now);
-        if (account.limit && account.denied >= MinDenied)
+        if (account.limit && account.denied + account.spareDenied >= MinDenied)
             wanted.push_back({target, account.limit,
                               std::chrono::duration_cast<milliseconds>(now - account.heardAt)});
     }
--- a/src/entry/permitaccess.cpp
+++ b/src/entry/permitaccess.cpp
@@ -1,5 +1,6 @@
 #include "entry/permitaccess.h"
 
+#include <iterator>
 #include <set>
 #include <string>
 #include <utility>
@@ -33,6 +34,8 @@
     for (const Member &member : m_view->members)
         domains.insert(member.failureDomain);
     m_pool.growFailureDomains(domains.size());
+    const auto place = std::distance(domains.begin(), domains.find(m_self.failureDomain));
+    m_pool.setPlace(static_cast<std::size_t>(place), domains.size());
     updateOwner(now);
 }
 
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t SpareConnections = 1;
 /// Several times the targets of the largest deployment that is designed for.
 constexpr std::size_t MaxStandings = 16384;
+/// How long a call that other targets could take waits for a permit: some ten times the network's
+/// round trip within a failure domain.
+constexpr std::chrono::milliseconds MaxProbeWait{10};
 
 } // namespace
 
@@ -221,19 +224,6 @@
     return found.absence;
 }
 
-void TargetDirectory::onFailingMayHaveChanged(const TargetHandle &target, bool wasFailing)
-{
-    const bool isFailing = target.load.isFailing();
-    if (isFailing == wasFailing)
-        return;
-    logEvent(LogLevel::Info, isFailing ? "target_failing" : "target_answers",
-             {{"target", target.info.id}, {"service", target.info.service}});
-    // Posted, because the caller may be looking at the waiting calls.
-    if (isFailing)
-        asio::post(m_io,
-                   [this, service = target.info.service] { reviewWaiting(service, Clock::now()); });
-}
-
 void TargetDirectory::onNotice(const std::weak_ptr<TargetHandle> &target,
                                const HttpResponse &response,
                                std::optional<Clock::time_point> sentAt)
@@ -269,6 +259,8 @@
 TargetHandlePtr TargetDirectory::pick(const std::vector<TargetHandlePtr> &handles,
                                       Clock::time_point now)
 {
+    if (TargetHandlePtr due = dueLimitedTarget(handles, now))
+        return due;
     std::vector<TargetHandlePtr> free;
     std::vector<const TargetLoad *> loads;
     for (const TargetHandlePtr &handle : handles)
@@ -286,6 +278,14 @@
     const Candidates found = candidates(call, now);
     if (found.handles.empty() && !mayWaitFor(found.absence, call))
         return {CallState::NoTarget, found.absence};
+    const std::vector<TargetHandlePtr> doubted = recordChoice(found, call, now);
+    if (!doubted.empty()) {
+        probeLimits(doubted, call.service, call.request, call.priority, now);
+        call.probesUntil = now + MaxProbeWait;
+        m_waiting[call.service].push_back(std::move(call));
+        armPermitTimer(now);
+        return {CallState::Waiting, {}};
+    }
     const TargetHandlePtr target = pick(found.handles, now);
     if (target && send(target, call))
         return {CallState::Sent, {}};
@@ -317,66 +317,13 @@
     else if (call.permit)
         addSparePermit(*call.permit);
     target->standing->limit().onSent(now);
+    target->limitShare.onSent();
     call.permit.reset();
     target->load.onSent();
     call.onSent(target, *number);
     return true;
 }
 
-void TargetDirectory::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
-                                  const TargetCallResult &reply)
-{
-    const bool wasFailing = target->load.isFailing();
-    recordOutcome(*target, expected, reply, Clock::now());
-    onFailingMayHaveChanged(*target, wasFailing);
-}
-
-void TargetDirectory::onOverdue(const TargetHandlePtr &target, Clock::time_point now)
-{
-    const bool wasFailing = target->load.isFailing();
-    target->load.onOverdue(now);
-    onFailingMayHaveChanged(*target, wasFailing);
-}
-
-void TargetDirectory::recordOutcome(TargetHandle &target, Clock::duration expected,
-                                    const TargetCallResult &reply, Clock::time_point now)
-{
-    TargetLoad &load = target.load;
-    switch (reply.end) {
-    case TargetCallResult::End::Responded:
-        if (reply.response.status == httpstatus::ServiceUnavailable
-            || reply.response.status == httpstatus::TooManyRequests)
-            load.onRefused(now);
-        else if (reply.response.status == httpstatus::MisdirectedRequest)
-            onMisdirected(target, now);
-        else if (isSpoilt(reply.response, m_adapter.headers))
-            load.onLost(now);
-        else
-            load.onAnswered(now - reply.sentAt, expected, now);
-        break;
-    case TargetCallResult::End::Unsent:
-        load.onUnsent();
-        break;
-    case TargetCallResult::End::NotConnected:
-    case TargetCallResult::End::Lost:
-    case TargetCallResult::End::Malformed:
-    case TargetCallResult::End::Abandoned:
-        load.onLost(now);
-        break;
-    }
-}
-
-void TargetDirectory::onMisdirected(TargetHandle &target, Clock::time_point now)
-{
-    target.load.onLost(now);
-    if (std::exchange(target.isMisdirected, true))
-        return;
-    logEvent(LogLevel::Warning, "target_misdirected",
-             {{"target", target.info.id},
-              {"service", target.info.service},
-              {"address", target.info.address}});
-}
-
 void TargetDirectory::sweep(Clock::time_point now)
 {
     for (const auto &[id, handle] : m_byId)
@@ -391,6 +338,7 @@
         reviewWaiting(service, now);
         requestPermitsForWaiting(service, now);
     }
+    requestSharesOfLimits(now);
     updateLimitMetrics(now);
     std::erase_if(m_retired,
                   [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -16,6 +16,7 @@
 #include "entry/permitrequests.h"
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
+#include "mangoshift/limitshare.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/targetload.h"
 #include "mangoshift/targetregistry.h"
@@ -32,6 +33,7 @@
     std::shared_ptr<TargetStanding> standing;
     /// Names the target in requests for permits.
     LimitKey limitKey;
+    LimitShare limitShare;
     /// When this VM was notified that the target is draining.
     Clock::time_point drainingSince{};
     /// Set when another target responded at this target's address, which means that this target no
@@ -105,6 +107,8 @@
     /// Whether the call ends at `permitLimit` if it still waits and some of its targets are
     /// limited.
     bool endsAtPermitLimit = false;
+    /// Until when the call waits for a permit although other targets could take it.
+    Clock::time_point probesUntil{};
     /// The latest time at which a permit is of use.
     Clock::time_point permitLimit = Clock::time_point::max();
     /// Whether failing targets that are being probed are left out. A part of a fan-out does not
@@ -229,13 +233,29 @@
         bool areAllEjected() const;
     };
     Candidates candidates(const ServiceCall &call, Clock::time_point now) const;
+    /// Records what a call owes to the limited targets of its service if others could take it.
+    /// Returns the targets for which the call should ask for a permit first.
+    std::vector<TargetHandlePtr> recordChoice(const Candidates &found, const ServiceCall &call,
+                                              Clock::time_point now);
+    /// Asks for a permit for a waiting call that other targets could take.
+    void probeLimits(const std::vector<TargetHandlePtr> &targets, const std::string &service,
+                     const ForwardedRequestPtr &request, std::uint32_t priority,
+                     Clock::time_point now);
+    /// Asks for the permits of the next interval.
+    void requestSharesOfLimits(Clock::time_point now);
+    /// Returns the limited target that the next request is due to; none if there is no target
+    /// without a limit.
+    static TargetHandlePtr dueLimitedTarget(const std::vector<TargetHandlePtr> &handles,
+                                            Clock::time_point now);
     /// Requests permits for the waiting calls to a service that could be sent to limited targets.
     void requestPermitsForWaiting(const std::string &service, Clock::time_point now);
     /// Gives a waiting call its permit, or ends it if it was denied one and has no other target.
     void onPermitOutcome(const std::string &service, const ForwardedRequestPtr &request,
                          const PermitOutcome &outcome, const std::vector<HeldPermit> &permits);
-    /// Reports a limit that has ended to the pool, as no further request of this VM does.
-    void reportLimitEnd(const TargetHandle &target, Clock::time_point now);
+    /// Reports a limit that has changed or ended, or is in doubt no longer, to the pool.
+    void reportLimit(const TargetHandle &target, Clock::time_point now);
+    /// Requests permits that no request depends on.
+    void requestSparePermits(std::vector<std::vector<HeardLimit>> parts, Clock::time_point now);
     /// Handles the limit that a response names, or that it names none.
     void onLimitNotice(TargetHandle &target, std::optional<double> limit,
                        std::optional<Clock::time_point> sentAt, Clock::time_point now);
--- a/src/entry/targetdirectory_limits.cpp
+++ b/src/entry/targetdirectory_limits.cpp
@@ -22,6 +22,16 @@
 constexpr Clock::duration MaxPermitWait = std::chrono::hours(1);
 constexpr milliseconds MetricsInterval{1000};
 
+/// The rank of requests for permits that no request depends on.
+constexpr std::uint32_t LowestRank = 255;
+
+/// Returns whether a target has named no limit.
+bool hasUnlimited(const std::vector<TargetHandlePtr> &handles)
+{
+    return std::any_of(handles.begin(), handles.end(),
+                       [](const auto &handle) { return !handle->standing->limit().isLimited(); });
+}
+
 HeardLimit heardLimit(const TargetHandle &target, Clock::time_point now)
 {
     const TargetLimit &limit = target.standing->limit();
@@ -48,26 +58,18 @@
 {
     PermitAsk ask;
     ask.priority = priority;
-    std::vector<std::vector<HeardLimit>> usefulParts;
     std::size_t openParts = 0;
     for (const std::string &service : services) {
         ServiceCall call;
         call.service = service;
         const Candidates found = candidates(call, now);
-        const bool isUnlimited =
-            std::any_of(found.handles.begin(), found.handles.end(),
-                        [](const auto &handle) { return !handle->standing->limit().isLimited(); });
-        const bool hasPermit = !isUnlimited && !found.handles.empty();
-        if (isUnlimited || hasPermit)
+        if (!found.handles.empty())
             ++openParts;
-        if (hasPermit)
-            continue;
-        if (!found.limited.empty())
-            (isUnlimited ? usefulParts : ask.parts).push_back(limitedPart(found.limited, now));
+        else if (!found.limited.empty())
+            ask.parts.push_back(limitedPart(found.limited, now));
     }
     ask.neededParts = ask.parts.size();
     ask.required = minParts > openParts ? minParts - openParts : 0;
-    std::move(usefulParts.begin(), usefulParts.end(), std::back_inserter(ask.parts));
     return ask.parts.empty() ? std::nullopt : std::optional(std::move(ask));
 }
 
@@ -116,8 +118,8 @@
     std::vector<std::pair<ForwardedRequestPtr, PermitAsk>> asks;
     for (const ServiceCall &call : waiting->second) {
         const bool hasPermit = call.permit && !call.permit->isExpired(now);
-        if (hasPermit || !call.requestsPermit || now >= call.permitLimit || now < call.permitRetryAt
-            || asks.size() == MaxAsksAtOnce)
+        if (hasPermit || !call.requestsPermit || now < call.probesUntil || now >= call.permitLimit
+            || now < call.permitRetryAt || asks.size() == MaxAsksAtOnce)
             continue;
         const Candidates found = candidates(call, now);
         if (found.limited.empty())
@@ -179,9 +181,12 @@
 {
     Clock::time_point next = Clock::time_point::max();
     for (const auto &[service, waiting] : m_waiting)
-        for (const ServiceCall &call : waiting)
+        for (const ServiceCall &call : waiting) {
             if (call.permit && call.permit->validFrom > now)
                 next = std::min(next, call.permit->validFrom);
+            if (call.probesUntil > now)
+                next = std::min(next, call.probesUntil);
+        }
     if (next == Clock::time_point::max())
         return;
     m_permitTimer.expires_at(next);
@@ -202,9 +207,14 @@
                                     std::optional<Clock::time_point> sentAt, Clock::time_point now)
 {
     using Change = TargetLimit::Change;
+    const bool wasInDoubt = LimitShare::isInDoubt(target.standing->limit(), now);
     const Change change = target.standing->limit().onResponse(limit, sentAt, now);
-    if (change == Change::None)
+    if (change == Change::None) {
+        // No other VM needs to ask the target meanwhile.
+        if (wasInDoubt && limit)
+            reportLimit(target, now);
         return;
+    }
     const char *event = change == Change::Ended ? "target_limit_ended"
         : change == Change::Named               ? "target_limit_named"
                                                 : "target_limit_changed";
@@ -214,21 +224,101 @@
               {"limit_per_s", limit ? std::to_string(*limit) : ""}});
     if (change != Change::Ended) {
         m_metrics.targetNotices.Add({{"kind", "limit"}}).Increment();
+        reportLimit(target, now);
         return;
     }
     // The load comes back as to a target that returns, one request at a time at first.
     target.load.resetLimit();
-    reportLimitEnd(target, now);
+    reportLimit(target, now);
     // Posted, because calls of the target may still be ending.
     asio::post(m_io,
                [this, service = target.info.service] { reviewWaiting(service, Clock::now()); });
 }
 
-void TargetDirectory::reportLimitEnd(const TargetHandle &target, Clock::time_point now)
+void TargetDirectory::reportLimit(const TargetHandle &target, Clock::time_point now)
+{
+    requestSparePermits({{heardLimit(target, now)}}, now);
+}
+
+void TargetDirectory::requestSparePermits(std::vector<std::vector<HeardLimit>> parts,
+                                          Clock::time_point now)
+{
+    m_permits.request(
+        {LowestRank, 0, 0, milliseconds(0), std::move(parts)},
+        [this](const PermitOutcome &outcome) {
+            const Clock::time_point grantedAt = Clock::now();
+            for (const Permit &permit : outcome.permits)
+                addSparePermit({permit.target, grantedAt + permit.validIn});
+        },
+        now);
+}
+
+std::vector<TargetHandlePtr> TargetDirectory::recordChoice(const Candidates &found,
+                                                           const ServiceCall &call,
+                                                           Clock::time_point now)
 {
-    requestPermits(
-        {0, 0, 0, milliseconds(0), {{heardLimit(target, now)}}},
-        [](const PermitOutcome &, const std::vector<HeldPermit> &) {}, now);
+    std::vector<TargetHandlePtr> doubted;
+    if (!hasUnlimited(found.handles))
+        return doubted;
+    const double part = 1.0 / static_cast<double>(found.handles.size() + found.limited.size());
+    for (const TargetHandlePtr &handle : found.handles)
+        if (handle->standing->limit().isLimited())
+            handle->limitShare.onChoice(part, now);
+    for (const TargetHandlePtr &handle : found.limited) {
+        handle->limitShare.onChoice(part, now);
+        if (call.canWait && !call.permit && handle->load.hasCapacity()
+            && !handle->load.isAvoided(now)
+            && handle->limitShare.startProbe(handle->standing->limit(), now))
+            doubted.push_back(handle);
+    }
+    return doubted;
+}
+
+void TargetDirectory::probeLimits(const std::vector<TargetHandlePtr> &targets,
+                                  const std::string &service, const ForwardedRequestPtr &request,
+                                  std::uint32_t priority, Clock::time_point now)
+{
+    // Any one of the targets will do; the others are asked for by the requests after this one.
+    m_permits.request(
+        {priority, 0, 0, milliseconds(0), {limitedPart(targets, now)}},
+        [this, service, request](const PermitOutcome &outcome) {
+            const Clock::time_point grantedAt = Clock::now();
+            for (const Permit &permit : outcome.permits)
+                addSparePermit({permit.target, grantedAt + permit.validIn});
+            if (const auto waiting = m_waiting.find(service); waiting != m_waiting.end())
+                for (ServiceCall &call : waiting->second)
+                    if (call.request == request)
+                        call.probesUntil = Clock::time_point{};
+            reviewWaiting(service, grantedAt);
+        },
+        now);
+}
+
+void TargetDirectory::requestSharesOfLimits(Clock::time_point now)
+{
+    // The nth ask has the targets of which at least n permits are wanted, as an ask gets at most
+    // one permit of each target for the requests that do not depend on it.
+    std::vector<std::vector<std::vector<HeardLimit>>> asks;
+    for (const auto &[id, handle] : m_byId) {
+        const std::size_t wanted = handle->limitShare.permitsToAsk(handle->standing->limit(), now);
+        asks.resize(std::max(asks.size(), wanted));
+        for (std::size_t i = 0; i < wanted; ++i)
+            asks[i].push_back({heardLimit(*handle, now)});
+    }
+    for (auto &parts : asks)
+        requestSparePermits(std::move(parts), now);
+}
+
+TargetHandlePtr TargetDirectory::dueLimitedTarget(const std::vector<TargetHandlePtr> &handles,
+                                                  Clock::time_point now)
+{
+    if (!hasUnlimited(handles))
+        return nullptr;
+    const auto due = std::find_if(handles.begin(), handles.end(), [now](const auto &handle) {
+        return handle->limitShare.isDue(handle->standing->limit(), now)
+            && handle->load.hasCapacity() && !handle->load.isUnresponsive();
+    });
+    return due == handles.end() ? nullptr : *due;
 }
 
 void TargetDirectory::updateLimitMetrics(Clock::time_point now)
@@ -248,11 +338,22 @@
             limit.sent() - (earlier == m_reportedSends.end() ? limit.sent() : earlier->second);
         m_metrics.targetLimit.Add({{"target", id}}).Set(*limit.value());
         m_metrics.targetLimitUse.Add({{"target", id}}).Set(static_cast<double>(sent) / seconds);
+        const Clock::duration unused = handle->limitShare.unusedFor(now);
+        m_metrics.targetLimitUnused.Add({{"target", id}})
+            .Set(std::chrono::duration<double>(unused).count());
+        if (handle->limitShare.shouldReport(now))
+            logEvent(LogLevel::Warning, "target_limit_unused",
+                     {{"target", id},
+                      {"service", handle->info.service},
+                      {"limit_per_s", std::to_string(*limit.value())},
+                      {"unused_ms",
+                       std::to_string(std::chrono::duration_cast<milliseconds>(unused).count())}});
     }
     for (const auto &[id, sent] : m_reportedSends)
         if (!sends.contains(id)) {
             m_metrics.targetLimit.Remove(&m_metrics.targetLimit.Add({{"target", id}}));
             m_metrics.targetLimitUse.Remove(&m_metrics.targetLimitUse.Add({{"target", id}}));
+            m_metrics.targetLimitUnused.Remove(&m_metrics.targetLimitUnused.Add({{"target", id}}));
         }
     m_reportedSends = std::move(sends);
 }
--- /dev/null
+++ b/src/entry/targetdirectory_outcomes.cpp
@@ -0,0 +1,80 @@
+// The part of the target directory that records how calls to targets end.
+
+#include <utility>
+
+#include <asio/post.hpp>
+
+#include "base/log.h"
+#include "entry/targetdirectory.h"
+#include "http/httpstatus.h"
+
+namespace mangoshift {
+
+void TargetDirectory::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
+                                  const TargetCallResult &reply)
+{
+    const bool wasFailing = target->load.isFailing();
+    recordOutcome(*target, expected, reply, Clock::now());
+    onFailingMayHaveChanged(*target, wasFailing);
+}
+
+void TargetDirectory::onOverdue(const TargetHandlePtr &target, Clock::time_point now)
+{
+    const bool wasFailing = target->load.isFailing();
+    target->load.onOverdue(now);
+    onFailingMayHaveChanged(*target, wasFailing);
+}
+
+void TargetDirectory::recordOutcome(TargetHandle &target, Clock::duration expected,
+                                    const TargetCallResult &reply, Clock::time_point now)
+{
+    TargetLoad &load = target.load;
+    switch (reply.end) {
+    case TargetCallResult::End::Responded:
+        if (reply.response.status == httpstatus::ServiceUnavailable
+            || reply.response.status == httpstatus::TooManyRequests)
+            load.onRefused(now);
+        else if (reply.response.status == httpstatus::MisdirectedRequest)
+            onMisdirected(target, now);
+        else if (isSpoilt(reply.response, m_adapter.headers))
+            load.onLost(now);
+        else
+            load.onAnswered(now - reply.sentAt, expected, now);
+        break;
+    case TargetCallResult::End::Unsent:
+        load.onUnsent();
+        break;
+    case TargetCallResult::End::NotConnected:
+    case TargetCallResult::End::Lost:
+    case TargetCallResult::End::Malformed:
+    case TargetCallResult::End::Abandoned:
+        load.onLost(now);
+        break;
+    }
+}
+
+void TargetDirectory::onMisdirected(TargetHandle &target, Clock::time_point now)
+{
+    target.load.onLost(now);
+    if (std::exchange(target.isMisdirected, true))
+        return;
+    logEvent(LogLevel::Warning, "target_misdirected",
+             {{"target", target.info.id},
+              {"service", target.info.service},
+              {"address", target.info.address}});
+}
+
+void TargetDirectory::onFailingMayHaveChanged(const TargetHandle &target, bool wasFailing)
+{
+    const bool isFailing = target.load.isFailing();
+    if (isFailing == wasFailing)
+        return;
+    logEvent(LogLevel::Info, isFailing ? "target_failing" : "target_answers",
+             {{"target", target.info.id}, {"service", target.info.service}});
+    // Posted, because the caller may be looking at the waiting calls.
+    if (isFailing)
+        asio::post(m_io,
+                   [this, service = target.info.service] { reviewWaiting(service, Clock::now()); });
+}
+
+} // namespace mangoshift
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -231,6 +232,18 @@
         return nlohmann::json::parse(result->body).value(id, std::vector<std::string>());
     }
 
+    /// Returns how many requests a target has run.
+    int runCount(const std::string &target)
+    {
+        const auto result = httplib::Client(loopbackIp("2"), ControlPort).Get("/ran");
+        REQUIRE(result);
+        const nlohmann::json runs = nlohmann::json::parse(result->body);
+        int count = 0;
+        for (const auto &[id, targets] : runs.items())
+            count += static_cast<int>(std::count(targets.begin(), targets.end(), target));
+        return count;
+    }
+
     /// Returns how many requests the targets have received in total.
     int arrivalCount()
     {
--- a/test/unit/explanation_test.cpp
+++ b/test/unit/explanation_test.cpp
@@ -143,6 +143,9 @@
               == "after 0 ms: not sent to s1: each target that is left has named a limit that "
                  "leaves no room for it in time");
         CHECK(contains(found.steps.at(1), "leave room for too few parts"));
+        CHECK(contains(found.cause,
+                       "Limits in force, in requests a second of all VMs together: i-d of s1 "
+                       "4.000000."));
         const std::string text = toText(found);
         CHECK(contains(text, "target_limit_named limit_per_s=4.000000 service=s1 target=i-d"));
         CHECK_FALSE(contains(text, "i-e"));
