Count a limited target as unused only while it is owed requests

The time since the first request that it was owed was counted up to now, not up to the last such request.

--- a/include/mangoshift/limitshare.h
+++ b/include/mangoshift/limitshare.h
@@ -42,11 +42,11 @@
     bool startProbe(const TargetLimit &limit, Clock::time_point now);
     /// Returns whether the target should get the next request for which there is a permit.
     bool isDue(const TargetLimit &limit, Clock::time_point now) const;
-    /// Returns how long the target has been sent nothing while it was owed requests; zero if it
-    /// was owed none.
-    Clock::duration unusedFor(Clock::time_point now) const;
+    /// Returns for how long the target was owed requests and sent none, up to the last one that it
+    /// was owed.
+    Clock::duration unusedFor() const;
     /// Returns whether the target has been unused for `ReportTime`, once until it is used again.
-    bool shouldReport(Clock::time_point now);
+    bool shouldReport();
     /// Returns whether a limit has not been heard for `DoubtTime`, so that it may have ended.
     static bool isInDoubt(const TargetLimit &limit, Clock::time_point now);
 
@@ -60,6 +60,7 @@
     /// When the target was first owed a request since it was last sent one; the greatest time point
     /// if it was not.
     Clock::time_point m_unusedSince = Clock::time_point::max();
+    Clock::time_point m_lastChoiceAt{};
     bool m_isReported = false;
 };
 
--- a/src/core/limitshare.cpp
+++ b/src/core/limitshare.cpp
@@ -27,6 +27,7 @@
     m_owed += part;
     m_owedLately += part;
     m_unusedSince = std::min(m_unusedSince, now);
+    m_lastChoiceAt = now;
 }
 
 void LimitShare::onSent()
@@ -69,14 +70,15 @@
     return limit.isLimited() && now - limit.heardAt() >= DoubtTime;
 }
 
-Clock::duration LimitShare::unusedFor(Clock::time_point now) const
+Clock::duration LimitShare::unusedFor() const
 {
-    return now > m_unusedSince ? now - m_unusedSince : Clock::duration::zero();
+    return m_lastChoiceAt > m_unusedSince ? m_lastChoiceAt - m_unusedSince
+                                          : Clock::duration::zero();
 }
 
-bool LimitShare::shouldReport(Clock::time_point now)
+bool LimitShare::shouldReport()
 {
-    return unusedFor(now) >= ReportTime && !std::exchange(m_isReported, true);
+    return unusedFor() >= ReportTime && !std::exchange(m_isReported, true);
 }
 
 } // namespace mangoshift
