Plan limits in the soak, and check that their targets are not forgotten

No seed planned a limit: it was planned last, and no time was left for it. The new check demands that a target which has named a limit gets another request within 8 s of its last response that named one, if undisturbed VMs sent 60 or more to others of its service; unittests "The soak finds violations*" breaks it, and keeps it in two ways.

--- a/test/soak/plan.cpp
+++ b/test/soak/plan.cpp
@@ -28,9 +28,15 @@
 constexpr milliseconds DrainTime{3000};
 /// How long the address of a stopped target stays unused at least.
 constexpr milliseconds AddressReuseDelay{2000};
+/// How long after its end a limit may keep its target from its part of the load.
+constexpr milliseconds LimitReturnTime{8000};
 constexpr double PeakLoadFactor = 5.0;
 constexpr std::uint64_t SelfReportSeed = 0x5e1f;
 constexpr std::uint64_t LimitSeed = 0x11a17;
+/// Of this many seeds one plans a limit before any other fault, as no time is left for one
+/// otherwise.
+constexpr std::uint64_t LimitsFirstEvery = 4;
+constexpr std::size_t MaxLimits = 100;
 
 /// Draws random faults and turns them into steps. A VM, a group of targets or the store has at most
 /// one fault at a time, but any number of them can have one.
@@ -39,6 +45,8 @@
 public:
     Planner(std::uint64_t seed, const Shape &shape, milliseconds length)
         : m_random(seed)
+        , m_plansLimitsFirst(seed % LimitsFirstEvery == LimitsFirstEvery - 1)
+        , m_limitRandom(seed ^ LimitSeed)
         , m_shape(shape)
         , m_length(length)
         , m_vmBusyUntil(static_cast<std::size_t>(shape.vms))
@@ -69,6 +77,8 @@
                                                   &Planner::publishSeries,
                                                   &Planner::changeSettings,
                                                   &Planner::raiseLoad};
+        if (m_plansLimitsFirst)
+            planLimits(1);
         for (milliseconds at = FirstFault; at < m_length;
              at += milliseconds(drawInt(MeanGapMs / 3, MeanGapMs * 5 / 3))) {
             const PlanFault planFault =
@@ -76,7 +86,10 @@
             (this->*planFault)(at);
         }
         planSelfReports();
-        planLimits();
+        if (!m_plansLimitsFirst) {
+            m_limitRandom.seed(m_random() ^ LimitSeed);
+            planLimits(MaxLimits);
+        }
         std::stable_sort(m_plan.steps.begin(), m_plan.steps.end(),
                          [](const Step &a, const Step &b) { return a.at < b.at; });
         return std::move(m_plan);
@@ -109,7 +122,11 @@
     bool tryReserveGroup(int group, milliseconds from, milliseconds to)
     {
         const auto index = static_cast<std::size_t>(group);
-        if (!tryReserve(m_groupBusyUntil[index], from, to))
+        const auto isLimited = [from, to](const std::pair<milliseconds, milliseconds> &time) {
+            return time.first <= to && from <= time.second;
+        };
+        if (std::any_of(m_firstLimits[index].begin(), m_firstLimits[index].end(), isLimited)
+            || !tryReserve(m_groupBusyUntil[index], from, to))
             return false;
         m_groupFaults[index].emplace_back(from, to);
         return true;
@@ -358,29 +375,34 @@
         }
     }
 
-    /// Plans targets that name limits, long enough for the bound on what they get to apply. They
-    /// are planned last, as they take long.
-    void planLimits()
+    /// Plans up to `most` targets that name limits, long enough for the bound on what they get to
+    /// apply, and a time after each in which its load comes back.
+    void planLimits(std::size_t most)
     {
-        std::mt19937_64 random(m_random() ^ LimitSeed);
-        const auto draw = [&random](std::size_t lowest, std::size_t highest) {
-            return static_cast<int>(lowest + random() % (highest - lowest + 1));
+        const auto draw = [this](std::size_t lowest, std::size_t highest) {
+            return static_cast<int>(lowest + m_limitRandom() % (highest - lowest + 1));
         };
+        std::size_t planned = 0;
         for (milliseconds at = FirstFault; at < m_length; at += milliseconds(draw(500, 3000))) {
             const auto group = static_cast<std::size_t>(draw(0, TargetGroups - 1));
             const int target = draw(0, static_cast<std::size_t>(targetsPerGroup()) - 1);
             const milliseconds end = at + milliseconds(draw(8500, 14000));
+            const milliseconds returned = end + LimitReturnTime;
             const auto overlaps = [&](const std::pair<milliseconds, milliseconds> &fault) {
-                return fault.first <= end && at <= fault.second;
+                return fault.first <= returned && at <= fault.second;
             };
             if (end > m_length
                 || std::any_of(m_groupFaults[group].begin(), m_groupFaults[group].end(), overlaps))
                 continue;
-            m_groupFaults[group].emplace_back(at, end);
+            m_groupFaults[group].emplace_back(at, returned);
+            if (m_plansLimitsFirst)
+                m_firstLimits[group].emplace_back(at, returned);
             const std::string mode = "limit=" + std::to_string(draw(0, 8));
             const std::size_t id = addFault("target set to mode " + mode, {});
             addStep(id, at, SetTargetMode{static_cast<int>(group), target, mode});
             addStep(id, end, SetTargetMode{static_cast<int>(group), target, "ok"});
+            if (++planned == most)
+                return;
         }
     }
 
@@ -419,6 +441,8 @@
     }
 
     std::mt19937_64 m_random;
+    bool m_plansLimitsFirst;
+    std::mt19937_64 m_limitRandom;
     const Shape &m_shape;
     milliseconds m_length;
     Plan m_plan;
@@ -426,6 +450,9 @@
     std::array<milliseconds, TargetGroups> m_groupBusyUntil{};
     /// The times at which faults affect each group.
     std::array<std::vector<std::pair<milliseconds, milliseconds>>, TargetGroups> m_groupFaults;
+    /// The times at which a target of each group names a limit that was planned before all faults,
+    /// and in which its load comes back.
+    std::array<std::vector<std::pair<milliseconds, milliseconds>>, TargetGroups> m_firstLimits;
     milliseconds m_storeBusyUntil{0};
     milliseconds m_loadBusyUntil{0};
 };
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -449,6 +449,42 @@
         }
 }
 
+/// Checks that a target that has named a limit is not left without requests for long, whatever it
+/// named, while others of its service get some.
+void checkLimitsAreNotForgotten(const EvidenceIndex &index, Violations &violations)
+{
+    constexpr milliseconds longest{8000};
+    // So many that some are due to the target at any number of targets of a service.
+    constexpr std::size_t manyRequests = 60;
+    std::map<std::string, Clock::time_point> lastNamed;
+    std::map<std::string, std::string> services;
+    for (const TargetEvent &event : index.evidence().targetEvents) {
+        if (limitOf(event)) {
+            lastNamed[event.target] = event.at;
+            services[event.target] = event.service;
+        }
+    }
+    for (const auto &[target, from] : lastNamed) {
+        const Clock::time_point to = from + longest;
+        if (!index.isTargetUndisturbed(target, from, to))
+            continue;
+        std::size_t others = 0;
+        bool isUsed = false;
+        for (const TargetEvent &event : index.evidence().targetEvents) {
+            const bool isInTime = event.kind == Kind::Arrived && event.at > from && event.at <= to;
+            isUsed = isUsed || (isInTime && event.target == target);
+            const CallerRecord *record = isInTime ? index.findCaller(event.request) : nullptr;
+            if (record != nullptr && event.target != target && event.service == services.at(target)
+                && index.isVmUndisturbed(*record, from, to))
+                ++others;
+        }
+        if (!isUsed && others >= manyRequests)
+            violations.push_back({"a target that names a limit is not forgotten",
+                                  "none reached " + target + " in 8 s, and "
+                                      + std::to_string(others) + " reached others of its service"});
+    }
+}
+
 /// Traffic of one service in ascending order: when callers sent the requests that arrived there,
 /// and the arrivals of each request after its first one.
 struct ServiceTraffic
@@ -615,6 +651,7 @@
     checkDepartures(index, violations);
     checkPauses(index, violations);
     checkLimits(index, violations);
+    checkLimitsAreNotForgotten(index, violations);
     checkTimeouts(index, violations);
     checkAbandonedRequests(index, violations);
     return violations;
--- a/test/unit/soakviolations_test.cpp
+++ b/test/unit/soakviolations_test.cpp
@@ -161,6 +161,42 @@
                   == found.end());
         }
     }
+    SECTION("a target that names a limit gets nothing any more")
+    {
+        const auto arrive = [&builder](const std::string &target, const std::string &id,
+                                       Clock::time_point at, const std::string &limit) {
+            builder.addRequest(RouteKind::Orders, id, at, {});
+            builder.addEvent(TargetEvent::Kind::Arrived, target, id, at, "POST /x ");
+            builder.addEvent(TargetEvent::Kind::Ran, target, id, at, limit);
+        };
+        const auto isFound = [&builder] {
+            const Invariants found = builder.violatedInvariants();
+            return std::find(found.begin(), found.end(),
+                             "a target that names a limit is not forgotten")
+                != found.end();
+        };
+        arrive("i-o", "last", Start + 10ms, "limit=5");
+        const auto sendOthers = [&arrive](std::size_t count) {
+            for (std::size_t i = 0; i < count; ++i)
+                arrive("i-p", "other-" + std::to_string(i), Start + 100ms * (i + 1), "");
+        };
+        SECTION("while another one of its service does")
+        {
+            sendOthers(70);
+            CHECK(isFound());
+        }
+        SECTION("but one request, which is enough")
+        {
+            sendOthers(70);
+            arrive("i-o", "probe", Start + 7900ms, "");
+            CHECK_FALSE(isFound());
+        }
+        SECTION("while the others get few, which is allowed")
+        {
+            sendOthers(20);
+            CHECK_FALSE(isFound());
+        }
+    }
     SECTION("a fan-out answer does not match its request")
     {
         CallerRecord &record = builder.addRequest(RouteKind::All, "r4", Start, {"i-a", "i-b"});
