--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -92,11 +92,10 @@
                                      return;
                                  if (error) {
                                      self->close(HttpResult::End::Closed);
-                                 } else if (!self->m_done) {
+                                 } else if (!self->m_done
+                                            || !self->m_reader.feed(self->m_buffer.data(), size)) {
                                      // Bytes between two requests belong to neither.
                                      self->close(HttpResult::End::Malformed);
-                                 } else if (!self->m_reader.feed(self->m_buffer.data(), size)) {
-                                     self->close(HttpResult::End::Malformed);
                                  } else if (!self->m_isClosed) {
                                      self->read();
                                  }
