--- a/test/unit/endlessreaders_test.cpp
+++ b/test/unit/endlessreaders_test.cpp
@@ -176,7 +176,7 @@
     int rejected = 0;
     CallerEvents events;
     events.onRequest = [](const CallerConnectionPtr &, const HttpRequest &) {};
-    events.onCallerDisconnected = [](const CallerConnectionPtr &) {};
+    events.onCallerDisconnected = [](const CallerConnectionPtr &, ConnectionEnd::Cause) {};
     events.onRejected = [&](int with) { rejected = with; };
     CallerListener listener(io, 16, events);
     Address address{"127.0.0.1", 0};
