Fail a part at once whose last copy was a hedge that is not sent

By review: a request was held to its deadline although nothing of it was under way. Its hedge waited for the retry pool, its first copy failed meanwhile (not repeated, as the hedge counted as in flight), and the pool then denied the hedge: the part stayed pending with no copy.

onHedgeDropped now fails a part that has no other copy; to retry it at once would be denied in the same way.

unittests "A forwarded request that*", section "fails at once if its first copy*": before, dropping the hedge returned nothing and the request ended at its deadline only (by the signature, the section does not compile without the change).

--- a/include/mangoshift/requestmachine.h
+++ b/include/mangoshift/requestmachine.h
@@ -79,8 +79,8 @@
     /// fail in the same way, so the part fails unless another copy of it is in flight.
     RequestActions onUnsent(std::size_t part, const Verdict &verdict, Clock::time_point now);
     /// Handles a hedge that was not sent for lack of a target or of budget; the part is not hedged
-    /// again.
-    void onHedgeDropped(std::size_t part);
+    /// again, and fails if no other copy of it is in flight.
+    RequestActions onHedgeDropped(std::size_t part, Clock::time_point now);
     /// Handles that a part waits only for targets that fail, or no longer does. An answer that
     /// holds `minParts` parts does not wait for such a part.
     RequestActions onStalled(std::size_t part, bool isStalled, Clock::time_point now);
--- a/src/core/requestmachine.cpp
+++ b/src/core/requestmachine.cpp
@@ -128,12 +128,17 @@
     finishIfDecided(actions, now);
 }
 
-void RequestMachine::onHedgeDropped(std::size_t part)
+RequestActions RequestMachine::onHedgeDropped(std::size_t part, Clock::time_point now)
 {
+    RequestActions actions;
     Part &state = m_parts[part];
     --state.inFlight;
     --state.attempts;
     state.canHedge = false;
+    // The other copies may have failed while the hedge waited for the budget.
+    if (!m_isFinished && state.state == PartState::Pending && state.inFlight == 0)
+        failPart(state, actions, now);
+    return actions;
 }
 
 RequestActions RequestMachine::onStalled(std::size_t part, bool isStalled, Clock::time_point now)
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -284,10 +284,8 @@
     Part &part = m_parts[action.part];
     if (action.cause == SendCause::Hedge) {
         reportOverdue(part, now);
-        if (part.isWaiting) {
-            m_machine->onHedgeDropped(action.part);
-            return {};
-        }
+        if (part.isWaiting)
+            return m_machine->onHedgeDropped(action.part, now);
     }
     if (!part.hasFirstCopy)
         return callTarget(action, Payment::None, now);
@@ -318,7 +316,7 @@
     const Clock::time_point now = Clock::now();
     const bool isNeeded = !m_parts[action.part].isAnswered;
     if (action.cause == SendCause::Hedge && !isNeeded)
-        m_machine->onHedgeDropped(action.part);
+        perform(m_machine->onHedgeDropped(action.part, now));
     else if (isGranted)
         perform(callTarget(action, Payment::Pool, now));
     else
@@ -456,10 +454,8 @@
 RequestActions RequestExchange::onUnsent(const SendPart &action, const Verdict &verdict,
                                          Clock::time_point now)
 {
-    if (action.cause == SendCause::Hedge) {
-        m_machine->onHedgeDropped(action.part);
-        return {};
-    }
+    if (action.cause == SendCause::Hedge)
+        return m_machine->onHedgeDropped(action.part, now);
     return m_machine->onUnsent(action.part, verdict, now);
 }
 
--- a/test/unit/requestmachine_test.cpp
+++ b/test/unit/requestmachine_test.cpp
@@ -133,9 +133,15 @@
     SECTION("keeps waiting if a hedge could not be sent")
     {
         machine.onTimer(Start + 20ms);
-        machine.onHedgeDropped(0);
+        CHECK(textOf(machine.onHedgeDropped(0, Start + 20ms)).empty());
         CHECK(textOf(machine.onAnswered(0, Start + 80ms)) == "answer ");
     }
+    SECTION("fails at once if its first copy failed while a hedge waited that is not sent")
+    {
+        machine.onTimer(Start + 20ms);
+        CHECK(textOf(machine.onFailed(0, Lost, Start + 30ms)).empty());
+        CHECK(textOf(machine.onHedgeDropped(0, Start + 40ms)) == "fail:may_have_run ");
+    }
     SECTION("is retried after a failure, up to its maximum number of attempts")
     {
         CHECK(textOf(machine.onFailed(0, Lost, Start + 5ms)) == "retry0 ");
@@ -252,7 +258,7 @@
         for (const RequestAction &action : actions) {
             if (const auto *send = std::get_if<SendPart>(&action)) {
                 if (send->cause == SendCause::Hedge && pick(0, 3) == 0) {
-                    machine.onHedgeDropped(send->part);
+                    perform(machine.onHedgeDropped(send->part, now));
                     continue;
                 }
                 if (!isIdempotent)
