--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -214,22 +214,18 @@
     ask->maxWait = std::max(milliseconds(0),
                             std::chrono::duration_cast<milliseconds>(
                                 m_partialAnswerFrom - m_expectedLatency * WaitMarginFactor - now));
-    const bool isNeeded = ask->neededParts > 0;
     m_state.directory.requestPermits(
         std::move(*ask),
-        [weak = weak_from_this(), isNeeded, &directory = m_state.directory](
+        [weak = weak_from_this(), &directory = m_state.directory](
             const PermitOutcome &outcome, const std::vector<HeldPermit> &permits) {
             const auto self = weak.lock();
-            if (self && isNeeded && !self->m_isFinished)
+            if (self && !self->m_isFinished)
                 self->onPermits(outcome, permits);
             else
                 for (const HeldPermit &permit : permits)
                     directory.addSparePermit(permit);
         },
         now);
-    // Permits that are of use only serve the requests after this one.
-    if (!isNeeded)
-        perform(m_machine->start(now));
 }
 
 void RequestExchange::onPermits(const PermitOutcome &outcome,
