Let a target run the request before its caller closes its sending side

In both runs of all tests on, beside each other, the section "the parts of a query that have arrived soon" failed, and nothing else; alone, "an answer that arrives soon" failed in 2 of some 10 runs, with no request at any target. The caller closed its sending side at once. A call that still waits for a connection is taken back then and refused as not run, which is right: the test took it for a fault.

The sections now close the sending side once the targets have run the request. A new section closes it at once, and requires an answer that one target ran, or a refusal as not run that none did.

--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -177,14 +177,28 @@
 {
     EntrySystem system;
     RawConnection caller(system.callerAddress());
-    const auto sendAndFinish = [&caller](const std::string &method, const std::string &path,
-                                         const std::string &id) {
+    const auto send = [&caller](const std::string &method, const std::string &path,
+                                const std::string &id) {
         caller.send(method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
                     + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n");
+    };
+    const auto sendAndFinish = [&](const std::string &method, const std::string &path,
+                                   const std::string &id) {
+        send(method, path, id);
+        REQUIRE(eventually([&] { return system.targetsThatRan(id).size() == 1; }));
         caller.finishSending();
         return caller.readToEnd();
     };
 
+    SECTION("an answer, or a refusal if the request was not sent yet")
+    {
+        send("POST", "/orders/x", "at-once");
+        caller.finishSending();
+        const std::string answer = caller.readToEnd();
+        const bool isAnswered = contains(answer, "HTTP/1.1 200 ");
+        CHECK((isAnswered || contains(answer, "\"execution\":\"not_run\"")));
+        CHECK(system.targetsThatRan("at-once").size() == (isAnswered ? 1 : 0));
+    }
     SECTION("an answer that arrives soon")
     {
         CHECK(contains(sendAndFinish("POST", "/orders/x", "half"), "HTTP/1.1 200 "));
@@ -194,7 +208,11 @@
     {
         system.setTargetMode("i-s1a", "mute");
         system.setTargetMode("i-s1b", "mute");
-        const std::string answer = sendAndFinish("GET", "/all/x", "part");
+        send("GET", "/all/x", "part");
+        // The mute targets run their part too.
+        REQUIRE(eventually([&system] { return system.targetsThatRan("part").size() >= 3; }));
+        caller.finishSending();
+        const std::string answer = caller.readToEnd();
         CHECK(contains(answer, "HTTP/1.1 200 "));
         CHECK(contains(answer, "X-Missing-Parts: 1"));
     }
