--- a/src/core/replicaset.cpp
+++ b/src/core/replicaset.cpp
@@ -30,6 +30,8 @@
 constexpr int RecoveredLatencyFactor = 2;
 /// A latency estimate older than this, of a replica too slow to be chosen, is checked by a probe.
 constexpr std::chrono::milliseconds StaleAfter{1000};
+/// How long a queue that had to refuse requests serves the newest first.
+constexpr std::chrono::milliseconds OverloadDuration{100};
 /// That probe is overdue after this many times `StaleAfter`.
 constexpr int OverdueFactor = 3;
 
@@ -154,6 +156,11 @@
     return std::chrono::duration_cast<microseconds>(now - *oldest);
 }
 
+void ReplicaSet::onOverload(Clock::time_point now)
+{
+    overloadedUntil = now + OverloadDuration;
+}
+
 std::map<QueueKey, QueuedRequest>::iterator ReplicaSet::nextToServe(Clock::time_point now)
 {
     const auto oldest = waiting.begin();
--- a/src/core/replicaset.h
+++ b/src/core/replicaset.h
@@ -86,6 +86,8 @@
     /// When the next wake-up is scheduled, if this lies in the future.
     Clock::time_point wakeAt{};
 
+    /// Called when a waiting request is refused because it cannot be served in its time.
+    void onOverload(Clock::time_point now);
     /// Returns the position of the request to serve next; the queue must not be empty.
     std::map<QueueKey, QueuedRequest>::iterator nextToServe(Clock::time_point now);
     /// Returns the position of the request to refuse first, which is the oldest of the lowest
--- a/src/duties/homeduty.h
+++ b/src/duties/homeduty.h
@@ -103,6 +103,7 @@
     void flushReplies();
     void updateCallMetrics();
     void updatePending();
+    static std::string poolKey(const Target &target);
     TargetPool &poolOf(const Target &target);
     std::size_t maxConnections(const Target &target) const;
     void closeRemovedPools();
