Count lines about malformed requests and connections as lines about callers

A malformed request has no id, so its line request_rejected was counted as one about the VM, as was caller_connection_ended. A caller that sends many of either could crowd out the lines that explain other failures: they shared the whole budget with what the VM believes, and only the quarter for lines about requests was out of their reach.

What a line is about is now decided by topicOf, in the log's budget, where a test reaches it. Events about requests and callers share the budget of requests, with or without an id. Found by reading; the test has no "before", as the decision was not to be called from a test.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -74,14 +74,6 @@
     line += '"';
 }
 
-/// Returns whether an event is the start, stop or reload of the VM, its readiness, or the loss or
-/// return of the store.
-bool isAboutLifecycle(std::string_view event)
-{
-    return event.starts_with("vm_") || event.starts_with("settings_") || event == "store_lost"
-        || event == "store_regained";
-}
-
 } // namespace
 
 void startLogging(LogLevel level, LogLimits limits)
@@ -138,17 +130,16 @@
     if (started == nullptr || level < minimumLevel)
         return;
     std::string line = "event=" + std::string(event);
-    LogTopic topic = isAboutLifecycle(event) ? LogTopic::Lifecycle : LogTopic::Vm;
+    bool namesRequest = false;
     for (const auto &[key, value] : fields) {
-        if (key == "request")
-            topic = LogTopic::Request;
+        namesRequest = namesRequest || key == "request";
         line += ' ';
         line += key;
         line += '=';
         appendValue(line, value);
     }
-    started->writer->tryWrite(
-        {level, std::chrono::system_clock::now(), std::move(line), std::string(event), topic});
+    started->writer->tryWrite({level, std::chrono::system_clock::now(), std::move(line),
+                               std::string(event), topicOf(event, namesRequest)});
 }
 
 } // namespace mangoshift
--- a/src/base/logbudget.cpp
+++ b/src/base/logbudget.cpp
@@ -17,8 +17,29 @@
     return topic == LogTopic::Request ? std::max<std::uint64_t>(whole * 3 / 4, 1) : whole;
 }
 
+/// Returns whether an event is the start, stop or reload of the VM, its readiness, or the loss or
+/// return of the store.
+bool isAboutLifecycle(std::string_view event)
+{
+    return event.starts_with("vm_") || event.starts_with("settings_") || event == "store_lost"
+        || event == "store_regained";
+}
+
+/// Malformed requests and connections have no id, but a caller may cause any number of them.
+bool isAboutCaller(std::string_view event)
+{
+    return event.starts_with("request_") || event.starts_with("caller_");
+}
+
 } // namespace
 
+LogTopic topicOf(std::string_view event, bool namesRequest)
+{
+    if (namesRequest || isAboutCaller(event))
+        return LogTopic::Request;
+    return isAboutLifecycle(event) ? LogTopic::Lifecycle : LogTopic::Vm;
+}
+
 bool LogBudget::tryConsume(LogLevel level, LogTopic topic, std::size_t bytes, Clock::time_point now)
 {
     if (now - m_secondStart >= Period) {
--- a/src/base/logbudget.h
+++ b/src/base/logbudget.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 #include "mangoshift/clock.h"
 
@@ -9,11 +10,14 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
-/// What a log line is about: one request, what the VM believes and does, or a state of the VM as a
-/// whole, such as its start and stop. Each explains the ones before it, and must not be crowded out
-/// by them.
+/// What a log line is about: one request or one caller's connection, what the VM believes and does,
+/// or a state of the VM as a whole, such as its start and stop. Each explains the ones before it,
+/// and must not be crowded out by them.
 enum class LogTopic : std::uint8_t { Request, Vm, Lifecycle };
 
+/// Returns what a line with this event is about. A line that names a request is about this request.
+LogTopic topicOf(std::string_view event, bool namesRequest);
+
 /// Limits on the volume of log output.
 struct LogLimits
 {
--- a/test/unit/logbudget_test.cpp
+++ b/test/unit/logbudget_test.cpp
@@ -56,6 +56,18 @@
     }
 }
 
+// Guards against a caller who hides what a VM logs about itself behind malformed requests.
+TEST_CASE("Lines that callers can cause in any number share the budget of requests")
+{
+    CHECK(topicOf("request_ended", true) == LogTopic::Request);
+    CHECK(topicOf("request_rejected", false) == LogTopic::Request);
+    CHECK(topicOf("caller_connection_ended", false) == LogTopic::Request);
+    CHECK(topicOf("target_avoided", true) == LogTopic::Request);
+    CHECK(topicOf("target_avoided", false) == LogTopic::Vm);
+    CHECK(topicOf("store_regained", false) == LogTopic::Lifecycle);
+    CHECK(topicOf("vm_stopped", false) == LogTopic::Lifecycle);
+}
+
 TEST_CASE("Whatever lines are offered, a log stays within its limits")
 {
     constexpr int runs = 2000;
