Let the test of several signals release its signals before the next section

The unit tests once ended with "SIGTERM - Termination request signal" in the section "if SIGHUP precedes SIGTERM", in a run beside builds.

Cause, in the test: the detached thread of the section before still held its ProcessSignals when the next section began. asio then only counts one more user of the signal and does not install its handler again, but Catch had installed its own in between, so the raised SIGTERM was Catch's. A thread that does not end in 20 s is left behind, as before, and the check fails.

--- a/test/unit/processsignals_test.cpp
+++ b/test/unit/processsignals_test.cpp
@@ -17,16 +17,22 @@
 
 namespace {
 
-/// Returns whether `waitForStop` returns. If it does not, its thread is left behind.
+/// Returns whether `waitForStop` returns. If it does not, its thread is left behind. Otherwise the
+/// thread no longer holds `signals`, which would keep the next test from handling signals.
 bool stopsInTime(const std::shared_ptr<ProcessSignals> &signals)
 {
     const auto hasStopped = std::make_shared<std::promise<void>>();
     std::future<void> stopped = hasStopped->get_future();
-    std::thread([signals, hasStopped] {
+    std::thread thread([signals, hasStopped] {
         signals->waitForStop();
         hasStopped->set_value();
-    }).detach();
-    return stopped.wait_for(std::chrono::seconds(20)) == std::future_status::ready;
+    });
+    const bool isStopped = stopped.wait_for(std::chrono::seconds(20)) == std::future_status::ready;
+    if (isStopped)
+        thread.join();
+    else
+        thread.detach();
+    return isStopped;
 }
 
 } // namespace
