Send the final responses of a stop also if the entry thread had no turn

If that thread has no turn in this time (a busy machine, a pause of the process, a long handler), EntryVm::stop ends its event loop and the process: requests that are pending, and those that have arrived and were not read, get no response.

Ruled out: waiting longer for the thread. It would exceed the deadline of the stop, and has no bound that is right for a thread which does not run.

Change: EntryDuty::stop, after the thread has ended, takes the connections and requests that have arrived, which are refused as not run (`draining`), and sends the final responses to the pending ones.

Not run: the whole of the tests. Not covered: a pipelined request behind one that is answered in this last step, and a response that is larger than the socket's buffer.

--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -83,6 +83,12 @@
 void EntryDuty::stop()
 {
     m_duty.stop();
+    // Its thread may have had no turn since the final responses came due. Now that it has ended,
+    // everything may be used from here.
+    m_isLeaving = true;
+    m_leaveDeadline = Clock::now();
+    m_callers.closeAfterResponses();
+    endRequests();
 }
 
 void EntryDuty::setRouting(RoutingTablePtr routing)
@@ -384,17 +390,25 @@
 {
     if (now - m_leavingSince < AcceptWhileLeaving && now < m_leaveDeadline - FinalResponseMargin)
         return;
-    m_callers.stopAccepting();
-    m_callers.closeIdle();
     if (now >= m_leaveDeadline - FinalResponseMargin) {
-        const auto exchanges = m_exchanges;
-        for (const auto &[connection, exchange] : exchanges)
-            exchange->finishNow(Reason::Draining);
+        endRequests();
+    } else {
+        m_callers.stopAccepting();
+        m_callers.closeIdle();
     }
     if (m_callers.connections() == 0)
         m_hasLeft = true;
 }
 
+void EntryDuty::endRequests()
+{
+    m_callers.stopAccepting();
+    m_callers.closeIdle();
+    const auto exchanges = m_exchanges;
+    for (const auto &[connection, exchange] : exchanges)
+        exchange->finishNow(Reason::Draining);
+}
+
 std::string EntryDuty::stateJson() const
 {
     nlohmann::json state;
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -53,6 +53,7 @@
     /// Starts to listen. Returns false, after logging the reason, if an address cannot be listened
     /// on.
     bool start();
+    /// Ends the thread. Requests that are pending or have arrived get a final response.
     void stop();
 
     // May be called from any thread.
@@ -125,10 +126,12 @@
     bool canServeSomeFanOut() const;
     void armSweep();
     void sweep();
+    void updateLogMetrics();
     /// Closes the connections of a leaving VM, and ends pending requests shortly before the
     /// deadline.
-    void updateLogMetrics();
     void sweepLeaving(Clock::time_point now);
+    /// Refuses requests that have arrived, and sends the final responses to pending ones.
+    void endRequests();
     std::string stateJson() const;
 
     EntrySettings m_settings;
