Read what a target has sent before its connection counts as overdue

A connection that the system had made counted as not made.

Evidence: with the new tests on the code before, `unittests "What has arrived before*"` failed in all three sections ("abandoned" instead of the body in two, no connection in the third) and `"The response to an abandoned call that*"` gave "abandoned" and one silent connection.

A connection is now read, for as many bytes as lie in its socket, before it is closed for its time, and one that the system has made is left to its handler. The bound keeps a target that sends on and on from holding up the thread.

--- a/src/http/targetchannel.cpp
+++ b/src/http/targetchannel.cpp
@@ -124,8 +124,11 @@
 
 void TargetChannel::waitForData()
 {
+    if (std::exchange(m_isWaitingForData, true))
+        return;
     m_socket.async_wait(tcp::socket::wait_read,
                         [self = shared_from_this()](const asio::error_code &error) {
+                            self->m_isWaitingForData = false;
                             if (self->m_isClosed)
                                 return;
                             if (error)
@@ -135,14 +138,14 @@
                         });
 }
 
-void TargetChannel::readSocket()
+std::size_t TargetChannel::readSocket()
 {
     static thread_local std::array<char, ReadBytes> buffer;
     asio::error_code error;
     const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
     if (error == asio::error::would_block) {
         waitForData();
-        return;
+        return 0;
     }
     if (error) {
         if (error == asio::error::eof && m_call != 0 && m_parser.hasHeaders()) {
@@ -151,16 +154,32 @@
                 handleResponse(true);
                 if (!m_isClosed)
                     close();
-                return;
+                return 0;
             }
         }
         finishWithoutResponse(TargetCallResult::End::Lost);
-        return;
+        return 0;
     }
     const std::shared_ptr<TargetChannel> self = shared_from_this();
     parseBytes(buffer.data(), size);
     if (!m_isClosed)
         waitForData();
+    return size;
+}
+
+void TargetChannel::readArrived()
+{
+    const std::shared_ptr<TargetChannel> self = shared_from_this();
+    const CallNumber call = m_call;
+    asio::error_code ignored;
+    // Not more than this, so that a target that sends on and on does not hold up the thread.
+    std::size_t left = m_socket.available(ignored);
+    while (m_isConnected && !m_isClosed && m_call == call) {
+        const std::size_t size = readSocket();
+        if (size == 0 || size > left)
+            return;
+        left -= size;
+    }
 }
 
 void TargetChannel::parseBytes(const char *bytes, std::size_t size)
@@ -228,15 +247,27 @@
     m_closeDeadline = closeDeadline;
 }
 
+bool TargetChannel::isEstablished() const
+{
+    asio::error_code error;
+    m_socket.remote_endpoint(error);
+    return !error;
+}
+
 bool TargetChannel::closeIfOverdue(Clock::time_point now, std::chrono::milliseconds connectTimeout)
 {
-    if (!m_isConnected && now - m_openedAt >= connectTimeout) {
-        close();
-    } else if (m_call != 0 && now >= m_closeDeadline) {
-        finishWithoutResponse(TargetCallResult::End::Abandoned);
-        return true;
+    if (!m_isConnected) {
+        if (now - m_openedAt >= connectTimeout && !isEstablished())
+            close();
+        return false;
     }
-    return false;
+    const auto isOverdue = [this, now] { return m_call != 0 && now >= m_closeDeadline; };
+    if (isOverdue())
+        readArrived();
+    if (m_isClosed || !isOverdue())
+        return false;
+    finishWithoutResponse(TargetCallResult::End::Abandoned);
+    return true;
 }
 
 void TargetChannel::finishWithoutResponse(TargetCallResult::End end)
--- a/src/http/targetchannel.h
+++ b/src/http/targetchannel.h
@@ -25,12 +25,14 @@
     /// Closes the connection if the response to the pending call does not arrive by
     /// `closeDeadline`.
     void abandon(Clock::time_point closeDeadline);
-    /// Closes the connection if connecting or an abandoned call is overdue. Returns true if an
-    /// established connection was closed because no response arrived.
+    /// Closes the connection if connecting or an abandoned call is overdue, after handling what has
+    /// arrived. Returns true if an established connection was closed because no response arrived.
     bool closeIfOverdue(Clock::time_point now, std::chrono::milliseconds connectTimeout);
     /// Closes the connection without notifying the owner, which is being destroyed.
     void detach();
     void close();
+    /// Handles what has arrived for the pending call; a busy thread may not have read it yet.
+    void readArrived();
 
     CallNumber call() const { return m_call; }
     /// Returns true if the target may be about to close the idle connection by its keep-alive
@@ -42,7 +44,10 @@
 private:
     void onConnect(const asio::error_code &error);
     void waitForData();
-    void readSocket();
+    /// Reads once, and returns the number of bytes that had arrived.
+    std::size_t readSocket();
+    /// Returns whether the system has established the connection, which `onConnect` reports later.
+    bool isEstablished() const;
     void parseBytes(const char *bytes, std::size_t size);
     /// `isBufferConsumed` is true if no bytes follow the response.
     void handleResponse(bool isBufferConsumed);
@@ -66,6 +71,7 @@
     Clock::time_point m_reuseDeadline = Clock::time_point::max();
     Clock::time_point m_closeDeadline = Clock::time_point::max();
     bool m_isConnected = false;
+    bool m_isWaitingForData = false;
     bool m_isClosed = false;
 };
 
--- a/test/unit/targetchannels_test.cpp
+++ b/test/unit/targetchannels_test.cpp
@@ -83,6 +83,8 @@
         return *number;
     }
     bool run(const std::function<bool()> &isDone) { return runUntil(m_io, isDone); }
+    /// Handles what has arrived.
+    void poll() { m_io.poll(); }
 
     ScriptedServer &server() { return m_server; }
     TargetChannels &channels() { return m_channels; }
@@ -396,6 +398,64 @@
     }
 }
 
+// Guards against blaming a target, and a request that may run only once, for a thread that was
+// late.
+TEST_CASE("What has arrived before a busy thread looks at its time limits is not overdue")
+{
+    PendingConnections pendingConnections;
+    Exchange exchange([&pendingConnections](const ScriptedServer::ConnectionPtr &connection) {
+        pendingConnections.push_back(connection);
+    });
+    const CallNumber number = exchange.startCall("r1");
+
+    SECTION("a connection that is made")
+    {
+        // The system has made the connection, and the event loop has not run since.
+        exchange.channels().sweep(Clock::now() + 501ms);
+        REQUIRE(exchange.run([&] { return pendingConnections.size() == 1; }));
+        respondToRequest(pendingConnections[0].lock());
+        REQUIRE(exchange.run([&] { return exchange.outcomes().size() == 1; }));
+        CHECK(exchange.counts().connectFailures == 0);
+    }
+    SECTION("the response to an abandoned call")
+    {
+        REQUIRE(exchange.run([&] { return pendingConnections.size() == 1; }));
+        exchange.channels().abandon(number, 300ms);
+        respondToRequest(pendingConnections[0].lock());
+        exchange.channels().sweep(Clock::now() + 301ms);
+    }
+    SECTION("a response of which a part was read before")
+    {
+        REQUIRE(exchange.run([&] { return pendingConnections.size() == 1; }));
+        exchange.channels().abandon(number, 300ms);
+        const ScriptedServer::ConnectionPtr connection = pendingConnections[0].lock();
+        connection->send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+        exchange.poll();
+        connection->send("body of r1");
+        exchange.channels().sweep(Clock::now() + 301ms);
+    }
+    REQUIRE(exchange.outcomes() == std::vector<std::string>{"body of r1"});
+    CHECK(exchange.channels().openConnections() == 1);
+    CHECK(exchange.counts().silent == 0);
+}
+
+TEST_CASE("The response to an abandoned call that ends with its connection is not overdue either")
+{
+    PendingConnections pendingConnections;
+    Exchange exchange([&pendingConnections](const ScriptedServer::ConnectionPtr &connection) {
+        pendingConnections.push_back(connection);
+    });
+    const CallNumber number = exchange.startCall("r1");
+    REQUIRE(exchange.run([&] { return pendingConnections.size() == 1; }));
+    exchange.channels().abandon(number, 300ms);
+    const ScriptedServer::ConnectionPtr connection = pendingConnections[0].lock();
+    connection->send("HTTP/1.1 200 OK\r\n\r\nabc");
+    connection->close();
+    exchange.channels().sweep(Clock::now() + 301ms);
+    CHECK(exchange.outcomes() == std::vector<std::string>{"abc"});
+    CHECK(exchange.counts().silent == 0);
+}
+
 TEST_CASE("Retired channels finish the pending call and close")
 {
     PendingConnections pendingConnections;
