Read what the store has sent before a request to it counts as timed out

The timer of a request ended it although the response lay in the socket, when the thread had stood still between the two: a listing or a watch was lost, and the connection with it.

The test lets a stand-in respond in the turn of the event loop in which the timer expires. The third section, a response that lacks its last byte, stays a timeout.

What has arrived is now read before the request fails. The connection limit is not changed: no order of events was found by which it ends a connection that the system has made, as the event loop reports sockets before timers.

--- a/src/entry/storeconnection.cpp
+++ b/src/entry/storeconnection.cpp
@@ -1,5 +1,6 @@
 #include "entry/storeconnection.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -64,11 +65,25 @@
         timer.expires_after(timeout);
         timer.async_wait(
             [self = shared_from_this(), at = timer.expiry()](const asio::error_code &error) {
-                if (!error && !self->isClosed && self->done && self->timer.expiry() == at)
-                    self->fail("timeout");
+                if (!error && self->isPending(at))
+                    self->onTimeout(at);
             });
     }
 
+    /// Returns whether the request whose time ends at `timeoutAt` has not ended yet.
+    bool isPending(Clock::time_point timeoutAt) const
+    {
+        return !isClosed && done && timer.expiry() == timeoutAt;
+    }
+
+    void onTimeout(Clock::time_point at)
+    {
+        // A busy thread may not have read the response yet.
+        readArrived(at);
+        if (isPending(at))
+            fail("timeout");
+    }
+
     void write()
     {
         asio::async_write(socket, asio::buffer(outgoing),
@@ -80,8 +95,11 @@
 
     void read()
     {
+        if (std::exchange(isWaitingForData, true))
+            return;
         socket.async_wait(tcp::socket::wait_read,
                           [self = shared_from_this()](const asio::error_code &error) {
+                              self->isWaitingForData = false;
                               if (self->isClosed)
                                   return;
                               if (error)
@@ -91,24 +109,40 @@
                           });
     }
 
-    void readBytes()
+    /// Handles all that has arrived for the request whose time ends at `timeoutAt`.
+    void readArrived(Clock::time_point timeoutAt)
+    {
+        asio::error_code ignored;
+        // Not more than this, so that a store that sends on and on does not hold up the thread.
+        std::size_t left = isConnected ? socket.available(ignored) : 0;
+        while (left > 0 && isPending(timeoutAt)) {
+            const std::size_t size = readBytes();
+            left -= std::min(left, size);
+            if (size == 0)
+                return;
+        }
+    }
+
+    /// Reads once, and returns the number of bytes that had arrived.
+    std::size_t readBytes()
     {
         static thread_local std::array<char, ReadBytes> buffer;
         asio::error_code error;
         const std::size_t size = socket.read_some(asio::buffer(buffer), error);
         if (error && error != asio::error::would_block) {
             fail(error.message());
-            return;
+            return 0;
         }
         const std::size_t consumed = parser.feed(buffer.data(), size);
         if (parser.fault() != HttpFault::None || consumed < size || (size > 0 && !done)) {
             fail("malformed response");
-            return;
+            return size;
         }
         if (parser.isComplete())
             finish(parser.takeResponse());
         if (!isClosed)
             read();
+        return size;
     }
 
     void finish(HttpResponse response)
@@ -143,6 +177,7 @@
     std::string outgoing;
     Done done;
     bool isConnected = false;
+    bool isWaitingForData = false;
     bool isClosed = false;
 };
 
