Read the responses that have arrived before a request is judged by the time

The timer of a request, and the last moment of a stop, decided by what the thread had read so far. After the thread stood still, a request whose answer lay in the socket was ended as one that may have run, a query left out a part that had arrived, and a hedge was sent for nothing.

Evidence: on the code before, `unittests "An answer that has arrived before*"` failed in all five sections: no 200 at the time limit, at the end of the 250 ms after the caller closed its sending side, and at a stop; a missing part of the query; two connections instead of one where a hedge was due.

A request now reads its pending calls' connections before it decides by the time.

By reading, not changed: denials of budget and permits after 100 ms are judged before the messages of other duties are taken, and home VMs of the `serve` path judge their timers before the replies of other VMs.

After: the test passes, as do all 231 unit tests.

--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -550,14 +550,33 @@
     m_timer.expires_at(next);
     m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
-        if (error || !self || self->m_isFinished)
-            return;
-        const Clock::time_point now = Clock::now();
-        if (self->m_callerLeftEnd && now >= *self->m_callerLeftEnd)
-            self->finishNow(Reason::Cancelled);
-        else
-            self->perform(self->m_machine->onTimer(now));
+        if (!error && self && !self->m_isFinished)
+            self->onTimer();
     });
 }
 
+void RequestExchange::onTimer()
+{
+    readArrived();
+    if (m_isFinished)
+        return;
+    const Clock::time_point now = Clock::now();
+    if (m_callerLeftEnd && now >= *m_callerLeftEnd)
+        finishNow(Reason::Cancelled);
+    else
+        perform(m_machine->onTimer(now));
+}
+
+void RequestExchange::readArrived()
+{
+    std::vector<std::pair<TargetHandlePtr, CallNumber>> pending;
+    for (const Part &part : m_parts)
+        for (const Copy &copy : part.copies)
+            if (copy.isPending)
+                pending.emplace_back(copy.target, copy.call);
+    for (const auto &[target, call] : pending)
+        if (!m_isFinished)
+            target->channels.readArrived(call);
+}
+
 } // namespace mangoshift
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -115,7 +115,11 @@
     /// Takes back the parts that wait for a target.
     void dropWaitingParts();
     void finish(std::chrono::milliseconds gracePeriod);
+    /// Handles the responses that have arrived and were not read yet because the thread was busy.
+    /// To be called before a decision by the time; the request may finish within.
+    void readArrived();
     void armTimer();
+    void onTimer();
     /// Appends a decision to the request's trace, with the time since the request was received.
     void addToTrace(const char *what, const std::string &service, const TargetId &target,
                     const char *why);
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -173,6 +173,9 @@
 
 void RequestExchange::finishNow(Reason reason)
 {
+    if (m_isFinished)
+        return;
+    readArrived();
     if (m_isFinished)
         return;
     if (m_machine->answeredParts() >= m_minParts)
--- a/src/http/targetchannels.cpp
+++ b/src/http/targetchannels.cpp
@@ -129,6 +129,15 @@
             channel->abandon(Clock::now() + gracePeriod);
 }
 
+void TargetChannels::readArrived(CallNumber call)
+{
+    const auto channel =
+        std::find_if(m_channels.begin(), m_channels.end(),
+                     [call](const ChannelPtr &each) { return each->call() == call; });
+    if (channel != m_channels.end())
+        ChannelPtr(*channel)->readArrived();
+}
+
 void TargetChannels::sweep(Clock::time_point now)
 {
     const std::vector<ChannelPtr> all = m_channels;
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -126,6 +126,9 @@
     /// dropped. The connection of a call that was sent is kept if the response arrives within
     /// `gracePeriod`, and closed otherwise. `done` is called with the result.
     void abandon(CallNumber call, std::chrono::milliseconds gracePeriod);
+    /// Handles what has arrived for a call and was not read yet because the thread was busy. The
+    /// call may end within.
+    void readArrived(CallNumber call);
     /// Closes connections on which connecting or an abandoned call is overdue. In the latter case,
     /// also closes the idle connections that received no response since that call was sent.
     void sweep(Clock::time_point now);
