Let the status of a failed query follow its verdict

Cause: on the serve path the HTTP status, and whether there is a Retry-After, came from the reason alone, and the reason from the first missing shard. A query that no target had got by its deadline ended in 504, and one whose copies were never sent in 502, both as not_run and without Retry-After. The other way round, a query that may have run got 503 with Retry-After if its first missing shard was overloaded.

Change: failureStatus(verdict): 503 if and only if the query has not run, else 504 for a passed deadline and 502 for all others. QueryAnswer::failure gives the worst execution, the reason of the first shard that has it, and a time to retry only if nothing has run. Each 503 that is not_run has a Retry-After. The same for submissions that ended at a deadline and for requests whose deadline had passed before they were read: 503 if not run, 504 if they may have run. A submission that the ticket's issuer cannot vouch for keeps its 503 (docs/design/tickets.md).

Evidence: unittests "The status of a query that failed*".

Changed test: "a request whose deadline passed before it was read" asked for 504, which was the fault; it asks for 503 now. Nothing else in it changed.

--- a/include/mangoshift/querymachine.h
+++ b/include/mangoshift/querymachine.h
@@ -56,6 +56,10 @@
     bool isComplete() const { return missing.empty(); }
     /// Returns `NotRun` only if no copy of any shard request may have run.
     Execution execution() const;
+    /// Returns the verdict on the whole query if it fails because shards are missing:
+    /// `execution()`, the reason of a shard that made it so, and, if nothing has run, the longest
+    /// time after which a shard may be requested again.
+    Verdict failure() const;
 };
 
 /// Action: sends one frame that requests `shards` from `home`. The home uses only replicas in
--- a/src/core/queryanswer.cpp
+++ b/src/core/queryanswer.cpp
@@ -19,6 +19,23 @@
     return most;
 }
 
+Verdict QueryAnswer::failure() const
+{
+    Verdict verdict;
+    for (const MissingShard &each : missing) {
+        const bool isFirst = &each == &missing.front();
+        if (isFirst || each.verdict.execution > verdict.execution) {
+            verdict.execution = each.verdict.execution;
+            verdict.reason = each.verdict.reason;
+        }
+        verdict.retryAfter = std::max(verdict.retryAfter, each.verdict.retryAfter);
+    }
+    verdict.execution = execution();
+    if (verdict.execution != Execution::NotRun)
+        verdict.retryAfter = std::chrono::milliseconds(0);
+    return verdict;
+}
+
 bool QueryMachine::hasReplyFor(const ShardState &state, SnapshotId snapshot)
 {
     return std::any_of(state.replies.begin(), state.replies.end(),
--- a/src/duties/callerduty.cpp
+++ b/src/duties/callerduty.cpp
@@ -36,22 +36,6 @@
 const prometheus::Histogram::BucketBoundaries LatencyBuckets{
     0.001, 0.0025, 0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.25, 0.5, 1, 2.5};
 
-int statusOf(Reason reason)
-{
-    switch (reason) {
-    case Reason::DeadlineExceeded:
-        return 504;
-    case Reason::BadRequest:
-        return 400;
-    case Reason::Lost:
-    case Reason::BadReply:
-    case Reason::Failed:
-        return 502;
-    default:
-        return 503;
-    }
-}
-
 /// Returns how many workers may wait for answers at once; the others stay free to refuse.
 std::size_t admissionCapacity(const Settings &settings)
 {
@@ -253,7 +237,7 @@
     if (!reply.verdict.isOk()) {
         writeProblem(
             request,
-            {statusOf(reply.verdict.reason), {}, "the query was not answered", reply.verdict},
+            {failureStatus(reply.verdict), {}, "the query was not answered", reply.verdict},
             response);
         return;
     }
@@ -263,10 +247,9 @@
     m_metrics.shardsMissing.Add(service).Increment(static_cast<double>(answer.missing.size()));
     m_metrics.extraRequests.Add(service).Increment(answer.extraRequests);
     if (!answer.isComplete() && !request.service->partialAnswers) {
-        Verdict verdict = answer.missing.front().verdict;
-        verdict.execution = answer.execution();
+        const Verdict verdict = answer.failure();
         writeProblem(request,
-                     {statusOf(verdict.reason),
+                     {failureStatus(verdict),
                       {},
                       std::to_string(answer.missing.size()) + " of "
                           + std::to_string(answer.shardsRequested)
--- a/src/duties/problemresponse.cpp
+++ b/src/duties/problemresponse.cpp
@@ -9,9 +9,28 @@
 
 namespace mangoshift {
 
-void respondWithProblem(const CallerRequest &request, const Problem &problem, Metrics &metrics,
+namespace {
+
+constexpr int NotRunStatus = 503;
+/// When a caller should retry if nothing is known of the time until its request can be served.
+constexpr std::chrono::milliseconds DefaultRetryAfter{1000};
+
+} // namespace
+
+int failureStatus(const Verdict &verdict)
+{
+    if (verdict.execution == Execution::NotRun)
+        return NotRunStatus;
+    return verdict.reason == Reason::DeadlineExceeded ? 504 : 502;
+}
+
+void respondWithProblem(const CallerRequest &request, Problem problem, Metrics &metrics,
                         httplib::Response &response)
 {
+    const bool isNotRun =
+        problem.status == NotRunStatus && problem.verdict.execution == Execution::NotRun;
+    if (isNotRun && problem.verdict.retryAfter.count() == 0)
+        problem.verdict.retryAfter = DefaultRetryAfter;
     const bool isKnown = request.service != nullptr;
     metrics.requests
         .Add({{"service", isKnown ? request.serviceName : "unknown"},
--- a/src/duties/submitroutes.cpp
+++ b/src/duties/submitroutes.cpp
@@ -82,11 +82,10 @@
     case Reason::UnknownTicket:
         return 410;
     case Reason::DeadlineExceeded:
-        return 504;
     case Reason::Lost:
     case Reason::BadReply:
     case Reason::Failed:
-        return verdict.execution == Execution::NotRun ? 503 : 502;
+        return failureStatus(verdict);
     default:
         return 503;
     }
@@ -205,8 +204,11 @@
         problem = Problem{400, ShardKeyHeader, "is needed where a service has several shards"};
     if (problem) {
         // Only the VM that issued the ticket knows whether an earlier request with it ran.
-        if (ticket)
+        if (ticket) {
             problem->verdict.execution = Execution::MayHaveRun;
+            if (problem->verdict.reason == Reason::DeadlineExceeded)
+                problem->status = failureStatus(problem->verdict);
+        }
         writeProblem(received, *problem, response);
         return;
     }
@@ -246,8 +248,6 @@
         Problem problem{submissionStatus(verdict), {}, detailOf(verdict), verdict};
         if (verdict.reason == Reason::UnknownTicket || verdict.reason == Reason::BadRequest)
             problem.field = TicketHeader;
-        else if (verdict.execution == Execution::NotRun && verdict.retryAfter.count() == 0)
-            problem.verdict.retryAfter = DefaultRetryAfter;
         writeProblem(request, problem, response);
         return;
     }
--- a/src/filters/filterchain.cpp
+++ b/src/filters/filterchain.cpp
@@ -112,7 +112,7 @@
     }
     request.deadline = request.receivedAt + deadline;
     if (request.deadline <= Clock::now())
-        return Problem{504,
+        return Problem{503,
                        {},
                        "the deadline passed before the request was read",
                        {Execution::NotRun, Reason::DeadlineExceeded}};
