Count the first request of a part once, and only when it is sent

Cause: RequestExchange counted a first request, which earns extra ones, when a copy was given to a target's connections, and forgot that it had done so if this copy ended unsent. A request whose first target could not be reached counted twice, and one that reached no target at all counted as often as it was tried: the share of the retry budget was too big.

Change: it counts at the first byte of the part's first copy that has one, once for each part.

Evidence: unittests "A caller's request earns extra requests once*". After: all pass. Ruled out elsewhere: the other callers of RetryShare::onFirstRequest are tests; on the serve path SlotScheduler counts a copy that replaces an unsent one as no first copy.

--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -344,7 +344,7 @@
     };
     call.onFirstByte = [weak = weak_from_this(), index = action.part] {
         if (const auto self = weak.lock())
-            self->m_machine->onSent(index);
+            self->onFirstByte(index);
     };
     call.onEnded = [weak = weak_from_this(), index = action.part](const TargetHandlePtr &target,
                                                                   TargetCallResult reply) {
@@ -455,12 +455,17 @@
     return m_machine->onUnsent(action.part, verdict, now);
 }
 
+void RequestExchange::onFirstByte(std::size_t part)
+{
+    m_machine->onSent(part);
+    if (!std::exchange(m_parts[part].hasReachedTarget, true))
+        m_state.budgets.share(m_parts[part].service).onFirstRequest(Clock::now());
+}
+
 void RequestExchange::onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call)
 {
     Part &state = m_parts[part];
     const Clock::time_point now = Clock::now();
-    if (!state.hasFirstCopy)
-        m_state.budgets.share(state.service).onFirstRequest(now);
     if (state.hasFirstCopy || state.isWaiting)
         addToTrace("sent", state.service, target->info.id, state.hasFirstCopy ? "extra" : "waited");
     state.copies.push_back({target, call, true});
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -65,6 +65,8 @@
         Clock::time_point waitingSince{};
         /// Whether a copy was given to a target's connections, so that another one is extra.
         bool hasFirstCopy = false;
+        /// Whether a copy may have arrived at a target, which earns extra requests once.
+        bool hasReachedTarget = false;
         /// Whether a response that counts as an answer has arrived.
         bool isAnswered = false;
         /// The receipt in that response. A part of a merged answer always has one.
@@ -90,6 +92,9 @@
     RequestActions onExtraDenied(const SendPart &action, Clock::time_point now);
     void onPoolReply(const SendPart &action, bool isGranted);
     RequestActions onUnsent(const SendPart &action, const Verdict &verdict, Clock::time_point now);
+    /// Handles that a copy may arrive at a target from now on.
+    void onFirstByte(std::size_t part);
+    /// Handles that a copy was given to a target's connections.
     void onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call);
     void onReply(std::size_t part, const TargetHandlePtr &target, TargetCallResult reply);
     /// Returns the failure that a reply stands for; no value if the reply answers the part.
