Judge the end of a VM in the soak from its signal, not from the plan

Cause: the check "VM N still runs after the grace period" looked at the process once, at the planned time of its restart. The soak's thread performs one step after another, and sends a signal late if it had no turn; the restart, planned 0.3 to 2.5 s after a SIGKILL, was then already due, and the VM was judged microseconds after its signal.

Ruled out: a VM that does not end; SIGKILL cannot be caught.

Change: the soak records when each signal was sent and when the process was last seen to run, and waits for its end. A VM that was seen running more than the grace period of 6 s after its signal violates "processes end when stopped". A late look cannot make this false. For SIGTERM this is the bound as before (6 s of grace, looked at from 6.3 s on, now counted from the signal); the bound for SIGKILL was the random time to the restart, and is the same 6 s now.

--- a/test/soak/cluster.cpp
+++ b/test/soak/cluster.cpp
@@ -420,6 +420,7 @@
     evidence.serviceByTarget = m_evidence.serviceByTarget;
     evidence.groupByTarget = m_evidence.groupByTarget;
     evidence.routes = m_evidence.routes;
+    evidence.vmEnds = m_evidence.vmEnds;
     evidence.processFaults = m_evidence.processFaults;
     evidence.bounds = m_evidence.bounds;
     static const std::map<std::string, TargetEvent::Kind> kinds{
--- a/test/soak/cluster.h
+++ b/test/soak/cluster.h
@@ -127,6 +127,8 @@
     std::map<int, std::unique_ptr<testing::Process>> m_vms;
     std::map<int, std::unique_ptr<testing::Process>> m_vmRelays;
     std::map<int, bool> m_isStopExpected;
+    /// When the last signal of the plan was sent to each VM.
+    std::map<int, Clock::time_point> m_signalledAt;
     std::map<int, nlohmann::json> m_settings;
     std::size_t m_version = 0;
     int m_lastTargetId = 0;
--- a/test/soak/evidence.h
+++ b/test/soak/evidence.h
@@ -102,6 +102,16 @@
     Clock::time_point acknowledgedAt;
 };
 
+/// A VM that was told to end by a signal.
+struct VmEnd
+{
+    int vm = 0;
+    /// When the signal had been sent. It may be later than planned.
+    Clock::time_point signalledAt;
+    /// When the process was last seen to run.
+    Clock::time_point lastRunning;
+};
+
 /// The time bounds and the retry budget that the deployment states, which the checks apply.
 struct Bounds
 {
@@ -119,6 +129,7 @@
     std::chrono::milliseconds retryWindow{10000};
     /// The longest time from `Evidence::lastFault` until requests are served again.
     std::chrono::milliseconds recovery{12000};
+    /// The longest time from the signal that ends a VM until its process has ended.
     std::chrono::milliseconds grace{6000};
 };
 
@@ -144,7 +155,8 @@
     /// The number of the group of each target.
     std::map<std::string, int> groupByTarget;
     std::map<RouteKind, RouteBounds> routes;
-    /// VM processes that ended unexpectedly, stopped too late or had an unexpected exit status.
+    std::vector<VmEnd> vmEnds;
+    /// VM processes that ended unexpectedly or had an unexpected exit status.
     std::vector<std::string> processFaults;
     Bounds bounds;
     /// Processor time of all VM processes that ran at the end of the run.
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -17,7 +17,8 @@
     int vm;
     int signal;
 };
-/// Starts the process of a VM again. If the old process still runs, kills it and records a fault.
+/// Waits for the end of a VM's process and starts it again. Kills an old process that still runs
+/// after the grace period, which is a violation.
 struct RestartVm
 {
     int vm;
--- a/test/soak/violations.cpp
+++ b/test/soak/violations.cpp
@@ -626,6 +626,15 @@
              std::to_string(served) + " of " + std::to_string(sent) + " requests were served"});
 }
 
+void checkVmEnds(const Evidence &evidence, Violations &violations)
+{
+    for (const VmEnd &end : evidence.vmEnds)
+        if (end.lastRunning - end.signalledAt > evidence.bounds.grace)
+            violations.push_back(
+                {"processes end when stopped",
+                 "VM " + std::to_string(end.vm) + " still runs after the grace period"});
+}
+
 } // namespace
 
 std::vector<Violation> findViolations(const Evidence &evidence, Strictness strictness)
@@ -634,6 +643,7 @@
     Violations violations;
     for (const std::string &fault : evidence.processFaults)
         violations.push_back({"processes end only when stopped", fault});
+    checkVmEnds(evidence, violations);
     checkOrdersRunOnce(index, violations);
     checkRefusedNotRun(index, violations);
     checkResponses(index, violations);
--- a/test/unit/soakviolations_test.cpp
+++ b/test/unit/soakviolations_test.cpp
@@ -261,6 +261,13 @@
         builder.evidence().processFaults = {"VM 0 ended unexpectedly"};
         CHECK(builder.violatedInvariants() == Invariants{"processes end only when stopped"});
     }
+    SECTION("a process still runs when its grace period from the signal has passed")
+    {
+        builder.evidence().vmEnds = {{0, Start, Start + 6000ms}};
+        CHECK(builder.violatedInvariants().empty());
+        builder.evidence().vmEnds = {{0, Start, Start + 6001ms}};
+        CHECK(builder.violatedInvariants() == Invariants{"processes end when stopped"});
+    }
     SECTION("requests are dropped while the VM is undisturbed")
     {
         for (int i = 0; i < 4; ++i)
