Accept every waiting connection before a stop closes the listening socket

Cause: when a stop begins, the kernel drops new connection attempts, and connections that wait in the accept queue are accepted before the listening socket is closed, within 2 s. If all workers and refusing threads hold connections, the accepting thread serves one itself, and a connection on which no request arrives holds it for up to 5 s: idle connections were told to close only after the queue was empty. After 2 s the socket was closed with connections in its queue, which the kernel resets: their requests, already sent, got no response. By reading, not shown: the same happens if the process stands still for these 2 s.

Evidence: unit test with one worker that waits for an answer, 20 connections without a request (more than the 16 refusing threads) and one behind them that has sent its query.

Change: idle connections close before the wait for the queue instead of after it, so none holds the accepting thread for longer than its first request may take (0.5 s). While the kernel drops new attempts, the queue can only become shorter, so the wait for it ends when it is empty; the stop timeout of the process bounds it as it bounds the responses. The limit of 2 s remains if the kernel cannot drop them. A socket that is closed already does not count as one with a waiting connection.

--- a/src/duties/callerserver.cpp
+++ b/src/duties/callerserver.cpp
@@ -24,7 +24,7 @@
 /// How long the accept queue has to stay empty before the listening socket is closed, so that TCP
 /// handshakes in progress can finish.
 constexpr milliseconds QueueQuietPeriod{100};
-/// The limit on the wait for an empty accept queue, in case the kernel does not drop new connection
+/// The limit on the wait for an empty accept queue if the kernel does not drop new connection
 /// attempts.
 constexpr milliseconds QueueDrainTimeout{2000};
 constexpr milliseconds QueuePollInterval{5};
@@ -58,7 +58,7 @@
 bool hasPendingConnection(socket_t listeningSocket)
 {
     pollfd pollFds{listeningSocket, POLLIN, 0};
-    return ::poll(&pollFds, 1, 0) > 0;
+    return ::poll(&pollFds, 1, 0) > 0 && (pollFds.revents & POLLIN) != 0;
 }
 
 } // namespace
@@ -99,8 +99,16 @@
 
 void CallerServer::stopGracefully()
 {
-    if (svr_sock_ != INVALID_SOCKET)
-        waitForEmptyAcceptQueue();
+    if (svr_sock_ != INVALID_SOCKET) {
+        const bool isQueueFinite = dropNewConnections(svr_sock_);
+        if (!isQueueFinite)
+            logEvent(LogLevel::Warning, "new_connections_not_dropped",
+                     {{"error", std::generic_category().message(errno)}});
+        // A connection without a request may hold the thread that accepts those in the queue.
+        ::eventfd_write(m_stopEvent, 1);
+        waitForEmptyAcceptQueue(isQueueFinite ? Steady::time_point::max()
+                                              : Steady::now() + QueueDrainTimeout);
+    }
     stopAccepting();
 }
 
@@ -110,12 +118,8 @@
     stop();
 }
 
-void CallerServer::waitForEmptyAcceptQueue() const
+void CallerServer::waitForEmptyAcceptQueue(std::chrono::steady_clock::time_point end) const
 {
-    if (!dropNewConnections(svr_sock_))
-        logEvent(LogLevel::Warning, "new_connections_not_dropped",
-                 {{"error", std::generic_category().message(errno)}});
-    const Steady::time_point end = Steady::now() + QueueDrainTimeout;
     Steady::time_point quietSince = Steady::now();
     while (Steady::now() < end && Steady::now() - quietSince < QueueQuietPeriod) {
         std::this_thread::sleep_for(QueuePollInterval);
--- a/src/duties/callerserver.h
+++ b/src/duties/callerserver.h
@@ -33,9 +33,9 @@
     /// machine. If the process was paused after that, the request is read much later. Returns the
     /// current time on a thread that serves no request.
     static Clock::time_point requestArrivalTime();
-    /// Drops new connection attempts, accepts the connections that the kernel has already
-    /// established, then closes idle connections. `listen_after_bind` returns once every request
-    /// has its response.
+    /// Drops new connection attempts, closes idle connections, and accepts all connections that the
+    /// kernel has already established. `listen_after_bind` returns once every request has its
+    /// response.
     void stopGracefully();
     /// Closes the listening socket and the idle connections. `listen_after_bind` returns once every
     /// request has its response.
@@ -44,7 +44,7 @@
 private:
     bool process_and_close_socket(socket_t socket) override;
     bool waitForRequest(const CallerStream &stream, bool isFirst) const;
-    void waitForEmptyAcceptQueue() const;
+    void waitForEmptyAcceptQueue(std::chrono::steady_clock::time_point end) const;
 
     RequestReadLimits m_limits;
     std::atomic<bool> m_isDraining{false};
--- a/test/unit/callerduty_test.cpp
+++ b/test/unit/callerduty_test.cpp
@@ -59,6 +59,7 @@
 
     static httplib::Client client() { return httplib::Client(loopbackIp(), 7100); }
     void waitUntilSent() { m_sent.get_future().wait(); }
+    void stop() { m_callers->stop(); }
     void loseHome() { m_queries.tryPost(PeerLost{"home"}); }
 
 private:
@@ -82,22 +83,38 @@
     std::unique_ptr<CallerDuty> m_callers;
 };
 
-/// Connects the socket, sends a query and returns all bytes received until the peer closes the
-/// connection. Does not close the socket.
-std::string sendQueryOn(asio::ip::tcp::socket &socket)
+void connect(asio::ip::tcp::socket &socket)
+{
+    socket.connect({asio::ip::make_address(loopbackIp()), 7100});
+}
+
+/// Sends a query on a connected socket.
+void writeQuery(asio::ip::tcp::socket &socket)
 {
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(loopbackIp()), 7100);
-    socket.connect(endpoint);
     asio::write(socket,
                 asio::buffer(std::string("POST /v1/query/search HTTP/1.1\r\nHost: vm\r\n"
                                          "Content-Type: application/json\r\n"
                                          "Content-Length: 2\r\n\r\n{}")));
+}
+
+/// Returns all bytes received until the peer closes the connection. Does not close the socket.
+std::string readToEnd(asio::ip::tcp::socket &socket)
+{
     std::string reply;
     asio::error_code error;
     asio::read(socket, asio::dynamic_buffer(reply), error);
     return reply;
 }
 
+/// Connects the socket, sends a query and returns all bytes received until the peer closes the
+/// connection. Does not close the socket.
+std::string sendQueryOn(asio::ip::tcp::socket &socket)
+{
+    connect(socket);
+    writeQuery(socket);
+    return readToEnd(socket);
+}
+
 Json problemOf(const httplib::Result &result, int status)
 {
     REQUIRE(result);
@@ -183,6 +200,36 @@
     CHECK(answer->status == 200);
 }
 
+// Guards against a stop that closes the listening socket while connections wait to be accepted,
+// because connections without a request hold the thread that accepts them.
+TEST_CASE("A caller that waits to be accepted while the VM stops gets a response")
+{
+    // More than there are threads that refuse requests.
+    constexpr int silentCallers = 20;
+    CallerDutyFixture fixture(1);
+    auto running = std::async(std::launch::async, [] {
+        httplib::Client client = CallerDutyFixture::client();
+        client.set_read_timeout(std::chrono::seconds(60));
+        return client.Post("/v1/query/search", "{}", "application/json");
+    });
+    fixture.waitUntilSent();
+    asio::io_context io;
+    std::deque<asio::ip::tcp::socket> silent;
+    for (int i = 0; i < silentCallers; ++i)
+        connect(silent.emplace_back(io));
+    asio::ip::tcp::socket waiting(io);
+    connect(waiting);
+    writeQuery(waiting);
+
+    auto stop = std::async(std::launch::async, [&fixture] { fixture.stop(); });
+    const std::string reply = readToEnd(waiting);
+    CHECK(reply.starts_with("HTTP/1.1 503 "));
+    CHECK(reply.find("not_run") != std::string::npos);
+    fixture.loseHome();
+    CHECK(running.get());
+    stop.get();
+}
+
 TEST_CASE("An answer with missing shards")
 {
     const auto queryOf = [](CallerDutyFixture &fixture) {
