Keep of a lowered limit only its part of the permits built up

What callers see: nothing; a target that names a lower limit, or zero, gets requests for which it has just said that it has no room. PROTOCOLS promises a target that names 0 one request in some four seconds.

Cause: a limit pool that hears of a lower limit scaled the loans down, but kept what had built up under the higher one, as far as the new capacity goes. Of a limit of 5 it could keep 1.2 permits for a limit of 0, which is one request at once.

The unit test shows it.

Ruled out: permits of the VM itself, which are dropped when a lower limit is heard.

Change: the pool keeps of its permits the part that the new rate is of the old one.

Result: the new section of limitpool_test fails on the old code with "3 == 2" for a limit of 10 that falls to 5, and "1 == 0" for one that falls to 0 (the test built without the change), and passes with it; all unit tests pass.

--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -128,10 +128,14 @@
         // A limit that is named anew starts without permits.
         if (!account.limit)
             account.permits = 0.0;
-        // What was lent of a higher limit is more than a lower one allows.
-        if (account.limit && heard.limit && *heard.limit < *account.limit)
+        // What was lent of a higher limit, or built up under it, is more than a lower one allows.
+        if (account.limit && heard.limit && *heard.limit < *account.limit) {
             for (RateChange &loan : account.loans)
                 loan.rate *= *heard.limit / *account.limit;
+            if (account.permits > 0.0)
+                account.permits *=
+                    std::max(*heard.limit, MinLimit) / std::max(*account.limit, MinLimit);
+        }
         account.limit = heard.limit;
         account.heardAt = heardAt;
         account.permits = std::min(account.permits, capacity(account));
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -187,6 +187,23 @@
         CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 7s) == 0);
         CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 8s) == 1);
     }
+    SECTION("keeps a part of what built up under a higher limit when a target names a lower one")
+    {
+        pool.setIsOwner(true, Start);
+        CHECK(countGranted(pool, askFor({limitOf(1, 10.0)}), 1, Ready) == 0);
+        // As much as a pool may hold for later: one permit and what is due in 800 ms.
+        const Clock::time_point loweredAt = Ready + 10s;
+        CHECK(countGranted(pool, askFor({limitOf(1, 10.0, 10s)}), 1, loweredAt) == 1);
+        SECTION("as large as the new limit is of the old one")
+        {
+            CHECK(countGranted(pool, askFor({limitOf(1, 5.0)}), 50, loweredAt) == 2);
+        }
+        SECTION("which is less than a permit for one that takes nothing")
+        {
+            const auto ask = askFor({limitOf(1, 0.0)}, 0, 3000ms);
+            CHECK(countGranted(pool, ask, 50, loweredAt) == 0);
+        }
+    }
     SECTION("lends another domain what its own has no use for")
     {
         LimitPool other(2);
