Count a call as sent when it may have arrived at its target

What operators see: `calls_sent` of a target in the state dump counted a call from the moment at which a home VM chose the target. A call that was cancelled while it waited for a connection, and of which no byte was sent, stayed counted.

Change: a call counts when it is given to a connection, which is also from when it may have run (`onCallSent`).

Result: the new test "A call counts as sent from the moment at which it may have arrived at its target" fails on the old code with "1 == 0" (the test built without the change) and passes with it. The new test "A target that refuses a cancelled call as draining gets no new requests" passes on both: the answer to a call that was cancelled is read. All unit tests pass.

--- a/include/mangoshift/slotscheduler.h
+++ b/include/mangoshift/slotscheduler.h
@@ -113,6 +113,7 @@
     /// The current limit on concurrent calls to the target.
     std::uint32_t slotLimit = 0;
     std::uint32_t slotsInUse = 0;
+    /// The calls that may have arrived at the target; see `SlotScheduler::onCallSent`.
     std::uint64_t callsSent = 0;
     TargetCondition condition = TargetCondition::Active;
     std::chrono::microseconds typicalLatency{0};
--- a/src/core/replicaset.h
+++ b/src/core/replicaset.h
@@ -26,7 +26,7 @@
     /// This VM's share of the target's slots.
     std::uint32_t slots = 1;
     std::uint32_t slotsInUse = 0;
-    std::uint64_t callsSent = 0;
+    std::uint64_t callsSent = 0; ///< The calls that may have arrived at the target.
     Clock::time_point lastUsed{};
     TargetHealth health;
     SlotLimit limit;
--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -93,8 +93,9 @@
 void SlotScheduler::onCallSent(CallId call)
 {
     const auto it = m_calls.find(call);
-    if (it != m_calls.end())
-        it->second.hasBeenSent = true;
+    if (it == m_calls.end() || std::exchange(it->second.hasBeenSent, true))
+        return;
+    ++it->second.target->callsSent;
 }
 
 bool SlotScheduler::mayHaveArrived(const Pending &pending) const
@@ -309,7 +310,6 @@
 {
     TargetState &target = *replica.target;
     ++target.slotsInUse;
-    ++target.callsSent;
     target.lastUsed = now;
     target.sendTimes.push_back(now);
     if (target.health.condition() != TargetCondition::Active)
--- a/test/unit/slotscheduler_test.cpp
+++ b/test/unit/slotscheduler_test.cpp
@@ -311,6 +311,45 @@
     CHECK(harness.status(draining).callsSent == before);
 }
 
+TEST_CASE("A call counts as sent from the moment at which it may have arrived at its target")
+{
+    SchedulerHarness harness(1);
+    harness.hasFreeConnections = false;
+    const ShardRequestId request = harness.submit();
+    const CallId call = harness.sent.at(0).call;
+    CHECK(harness.status(0).callsSent == 0);
+    CHECK(harness.status(0).slotsInUse == 1);
+
+    SECTION("and not if it is cancelled while it waits for a connection")
+    {
+        harness.record(harness.scheduler.onCancel(request, harness.now));
+        REQUIRE(harness.cancelled == std::vector<CallId>{call});
+        harness.endCall(call, Unreachable);
+        CHECK(harness.status(0).callsSent == 0);
+        CHECK(harness.status(0).slotsInUse == 0);
+    }
+    SECTION("once, whatever its outcome")
+    {
+        harness.scheduler.onCallSent(call);
+        CHECK(harness.status(0).callsSent == 1);
+        harness.endCall(call, DrainingRefusal);
+        CHECK(harness.status(0).callsSent == 1);
+    }
+}
+
+TEST_CASE("A target that refuses a cancelled call as draining gets no new requests")
+{
+    SchedulerHarness harness(1);
+    const ShardRequestId request = harness.submit();
+    const CallId call = harness.sent.at(0).call;
+    harness.record(harness.scheduler.onCancel(request, harness.now));
+    REQUIRE(harness.cancelled == std::vector<CallId>{call});
+    harness.endCall(call, DrainingRefusal);
+    CHECK(harness.status(0).condition == TargetCondition::Draining);
+    harness.submit();
+    CHECK(harness.sent.empty());
+}
+
 TEST_CASE("A replica far slower than its peers is ejected")
 {
     SchedulerHarness harness(2);
