Give queries more time in a test that checks no times

"No target gets more concurrent requests than it has slots" fails on a busy machine: 3 of 6 runs at load 23 to 31.

Cause, in the test: all three failed in the fixture, before anything was checked, as 1, 2 and 10 of 150 queries were not complete within the service's deadline of 100 ms. The test is about requests, slots and connections.

Change: this test, and no other of the fixture, has a deadline of 5 s. All its checks are the same.

--- a/test/system/targets_test.cpp
+++ b/test/system/targets_test.cpp
@@ -24,7 +24,9 @@
 class FaultyTargetFixture
 {
 public:
-    FaultyTargetFixture()
+    /// A `deadline` replaces that of every service unless it is zero.
+    explicit FaultyTargetFixture(std::chrono::milliseconds deadline = {})
+        : m_deployment("sundarban", {.targetOptions = {}, .deadline = deadline})
     {
         // Lets the home VMs measure latencies and earn a budget for extra requests.
         REQUIRE(countIncompleteAnswers(150) == 0);
@@ -220,7 +222,7 @@
     std::size_t vmCount() { return m_deployment.vmNames().size(); }
 
 private:
-    Deployment m_deployment{"sundarban"};
+    Deployment m_deployment;
     std::uint64_t m_extraRequests = 0;
 };
 
@@ -333,7 +335,8 @@
 {
     // One connection for each slot, and one for cancellations.
     constexpr std::uint64_t homeConnections = Slots + 1;
-    FaultyTargetFixture fixture;
+    // No response time is checked here, so the deadline is one that a busy machine can keep.
+    FaultyTargetFixture fixture(std::chrono::seconds(5));
     const auto connections = fixture.connectionsByVm();
     const std::uint64_t suspicions = fixture.homeSuspicions();
     INFO("open connections by VM: " << Json(connections)
