Test that keyed requests use a limited target

A route of a kind that the adapter does not know is forwarded like an unsafe one, and no test showed that its requests use a limited target and end its limit.

systemtests "A target that names a limit is used*" and "A target whose limit has ended*" have a section for keyed requests each. Test and document only.

--- a/test/system/entrylimits_test.cpp
+++ b/test/system/entrylimits_test.cpp
@@ -79,6 +79,14 @@
         time);
 }
 
+/// Publishes a configuration in which orders are keyed requests, and waits until it is in force.
+void makeOrdersKeyed(EntrySystem &system)
+{
+    system.publishConfiguration(2, "s1", 26, seconds(60), "keyed");
+    REQUIRE(eventually(
+        [&system] { return contains(system.log(), "configuration_adopted version=2"); }));
+}
+
 } // namespace
 
 TEST_CASE("A target that names a limit is used while another one names none")
@@ -90,6 +98,10 @@
     SECTION("for requests that may run at most once")
     {
     }
+    SECTION("for keyed requests")
+    {
+        makeOrdersKeyed(system);
+    }
     SECTION("for safe requests")
     {
         system.publishConfiguration(2, "orders");
@@ -130,6 +142,11 @@
     {
         nameLimit("5");
     }
+    SECTION("when its requests are keyed")
+    {
+        makeOrdersKeyed(system);
+        nameLimit("5");
+    }
     SECTION("when it names an invalid one")
     {
         nameLimit("5");
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -110,11 +110,12 @@
     }
 
     /// Publishes a configuration with three routes: `all` fans out over three shards, `changing`
-    /// forwards safe requests to `service`, and `orders` forwards unsafe requests, which may run at
-    /// most once. All VMs together may hold `maxConnections` connections to a target, and those of
-    /// callers may be idle for `idleTimeout`.
+    /// forwards safe requests to `service`, and `orders` forwards requests of the kind `orderKind`,
+    /// which may run at most once. All VMs together may hold `maxConnections` connections to a
+    /// target, and those of callers may be idle for `idleTimeout`.
     void publishConfiguration(int version, const std::string &service, int maxConnections = 26,
-                              std::chrono::milliseconds idleTimeout = std::chrono::seconds(60))
+                              std::chrono::milliseconds idleTimeout = std::chrono::seconds(60),
+                              const std::string &orderKind = "unsafe")
     {
         const auto route = [](const std::string &name, const std::string &kind,
                               const nlohmann::json &extraFields) {
@@ -130,7 +131,7 @@
             route("all", "safe",
                   {{"fanout_services", {"s1", "s2", "s3"}}, {"top_k", 5}, {"min_coverage", 0.6}}),
             route("changing", "safe", {{"service", service}}),
-            route("orders", "unsafe", {{"service", "orders"}})};
+            route("orders", orderKind, {{"service", "orders"}})};
         for (const std::string name : {"s1", "s2", "s3", "orders"})
             document["services"].push_back({{"name", name}, {"max_conns", maxConnections}});
         document["limits"] = {{"max_header_bytes", 16384},
