Ask another domain's owner for permits while the own one is new

A failure domain whose pool owner is lost gets no permits for the 4 to 5 s in which the loss is noticed, none in the second that a new owner waits, and then half of its part; a permit ahead of its time is granted only 4 s later. So at low limits its VMs heard of the end of a limit after 9 s or more, not within 8 s.

Evidence: the new unit test counts the requests of that domain in the second after the 8 s.

Ruled out: letting every new owner grant such a permit at once.

Change: PermitRoute. For 5 s after a VM has learned of an owner of its pool it asks the owner of the next domain. That owner charges its own part, so the sum of all parts is the same. Where there is only one domain, a new owner grants a permit ahead of its time as soon as it grants at all.

--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -120,8 +120,10 @@
     const Clock::time_point heardAt = now - heard.age;
     if (isNew) {
         account.updatedAt = now;
-        // Until all VMs agree on the owner, an earlier one may grant such a permit.
-        account.lastPermitAt = m_grantsStartAt + NewOwnerTime - ProbeTime;
+        // Until all VMs agree on the owner, an earlier one may grant such a permit. With one domain
+        // two owners together grant few enough of them.
+        if (m_failureDomains > 1)
+            account.lastPermitAt = m_grantsStartAt + NewOwnerTime - ProbeTime;
     }
     accrue(account, now);
     if (isNew || heardAt > account.heardAt) {
--- a/src/entry/permitaccess.cpp
+++ b/src/entry/permitaccess.cpp
@@ -1,9 +1,8 @@
 #include "entry/permitaccess.h"
 
 #include <iterator>
-#include <set>
-#include <string>
 #include <utility>
+#include <vector>
 
 #include "base/log.h"
 #include "entry/permitwire.h"
@@ -30,12 +29,10 @@
 void PermitAccess::onMembers(MemberViewPtr view, Clock::time_point now)
 {
     m_view = std::move(view);
-    std::set<std::string> domains{m_self.failureDomain};
-    for (const Member &member : m_view->members)
-        domains.insert(member.failureDomain);
-    m_pool.growFailureDomains(domains.size());
-    const auto place = std::distance(domains.begin(), domains.find(m_self.failureDomain));
-    m_pool.setPlace(static_cast<std::size_t>(place), domains.size());
+    const std::set<std::string> others = otherDomains();
+    m_pool.growFailureDomains(others.size() + 1);
+    const auto place = std::distance(others.begin(), others.lower_bound(m_self.failureDomain));
+    m_pool.setPlace(static_cast<std::size_t>(place), others.size() + 1);
     updateOwner(now);
 }
 
@@ -48,23 +45,44 @@
 void PermitAccess::updateOwner(Clock::time_point now)
 {
     const VmId owner = poolOwner(*m_view, m_self);
-    if (owner != m_owner)
+    if (owner != m_route.own())
         logEvent(LogLevel::Info, "limit_pool_owner", {{"vm", owner}});
-    m_owner = owner;
-    m_pool.setIsOwner(m_owner == m_self.vm, now);
+    m_route.setOwners(owner, ownerOfNextDomain(), now);
+    m_pool.setIsOwner(owner == m_self.vm, now);
+}
+
+std::optional<VmId> PermitAccess::ownerOfNextDomain() const
+{
+    const std::set<std::string> others = otherDomains();
+    std::vector<std::string> inOrder(others.lower_bound(m_self.failureDomain), others.end());
+    inOrder.insert(inOrder.end(), others.begin(), others.lower_bound(m_self.failureDomain));
+    for (const std::string &domain : inOrder)
+        if (auto owner = poolOwnerOf(*m_view, domain))
+            return owner;
+    return std::nullopt;
+}
+
+std::set<std::string> PermitAccess::otherDomains() const
+{
+    std::set<std::string> domains;
+    for (const Member &member : m_view->members)
+        domains.insert(member.failureDomain);
+    domains.erase(m_self.failureDomain);
+    return domains;
 }
 
 void PermitAccess::request(const PermitRequest &request, Clock::time_point now)
 {
-    if (m_owner == m_self.vm)
+    const VmId &owner = m_route.ownerToAsk(now);
+    if (owner == m_self.vm)
         m_sinks.onPermits(grant(request, now));
     else
-        m_sinks.sendToVm(m_owner, makeFrame(toWire(request)));
+        m_sinks.sendToVm(owner, makeFrame(toWire(request)));
 }
 
 void PermitAccess::onTick(Clock::time_point now)
 {
-    if (m_owner != m_self.vm || now < m_borrowAt)
+    if (m_route.own() != m_self.vm || now < m_borrowAt)
         return;
     m_borrowAt = now + BorrowInterval;
     std::erase_if(m_loanRequests,
@@ -72,11 +90,7 @@
     const std::vector<HeardLimit> wanted = m_pool.wantedLoans(now);
     if (wanted.empty())
         return;
-    std::set<std::string> domains;
-    for (const Member &member : m_view->members)
-        domains.insert(member.failureDomain);
-    domains.erase(m_self.failureDomain);
-    for (const std::string &domain : domains) {
+    for (const std::string &domain : otherDomains()) {
         const auto owner = poolOwnerOf(*m_view, domain);
         if (!owner)
             continue;
--- a/test/system/entrylimits_test.cpp
+++ b/test/system/entrylimits_test.cpp
@@ -79,6 +79,18 @@
         time);
 }
 
+/// Starts a second VM, and returns which of the two grants the permits.
+int startSecondVm(EntrySystem &system)
+{
+    system.startVm(2);
+    REQUIRE(eventually([&system] {
+        return system.isReady(2)
+            && system.registry(1).at("limit_pool_owner")
+            == system.registry(2).at("limit_pool_owner");
+    }));
+    return system.registry(1).at("limit_pool_owner") == "a-1" ? 1 : 2;
+}
+
 /// Publishes a configuration in which orders are keyed requests, and waits until it is in force.
 void makeOrdersKeyed(EntrySystem &system)
 {
@@ -167,16 +179,24 @@
     }
     SECTION("although the VM that granted the permits was lost")
     {
-        system.startVm(2);
-        REQUIRE(eventually([&system] {
-            return system.isReady(2)
-                && system.registry(1).at("limit_pool_owner")
-                == system.registry(2).at("limit_pool_owner");
-        }));
-        const int owner = system.registry(1).at("limit_pool_owner") == "a-1" ? 1 : 2;
-        vm = 3 - owner;
+        vm = 3 - startSecondVm(system);
         nameLimit("5");
-        system.vm(owner).signal(SIGKILL);
+        system.vm(3 - vm).signal(SIGKILL);
+    }
+    SECTION("although that VM was lost when the limit was zero")
+    {
+        vm = 3 - startSecondVm(system);
+        nameLimit("0");
+        system.vm(3 - vm).signal(SIGKILL);
+    }
+    SECTION("although one of two failure domains lost that VM when the limit was zero")
+    {
+        vm = 3 - startSecondVm(system);
+        system.startVm(3, "1", "b");
+        REQUIRE(eventually([&system] { return system.isReady(3); }));
+        std::this_thread::sleep_for(NewOwnerTime);
+        nameLimit("0");
+        system.vm(3 - vm).signal(SIGKILL);
     }
     system.setTargetMode("i-oa", mode);
     REQUIRE(sendUntilLogged(system, "event=target_limit_ended target=i-oa", ReturnTime, vm));
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -78,12 +78,12 @@
 
     /// Starts a VM, whose earlier process must have ended. `store` is the last octet of the
     /// address where the VM expects the store.
-    void startVm(int vm = 1, const std::string &store = "1")
+    void startVm(int vm = 1, const std::string &store = "1", const std::string &domain = "a")
     {
         const std::string vmOctet = lastOctetOf(vm);
         const nlohmann::json settings{
             {"vm", "a-" + std::to_string(vm)},
-            {"failure_domain", "a"},
+            {"failure_domain", domain},
             {"region", "r"},
             {"caller_address", addressOf(vmOctet, CallerPort)},
             {"ready_address", addressOf(vmOctet, ReadyPort)},
--- a/test/unit/limitfleet_test.cpp
+++ b/test/unit/limitfleet_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,7 @@
 
 #include "mangoshift/limitpool.h"
 #include "mangoshift/limitshare.h"
+#include "mangoshift/permitroute.h"
 #include "mangoshift/targetlimit.h"
 
 using namespace mangoshift;
@@ -24,6 +26,8 @@
 using Seconds = std::chrono::duration<double>;
 
 const Clock::time_point Start{1000s};
+/// Marks a VM that only a part of its domain takes for the owner of the pool.
+constexpr char RivalMark = '*';
 
 struct FleetShape
 {
@@ -41,6 +45,8 @@
 struct Arrival
 {
     Clock::time_point at;
+    /// The failure domain of its sender.
+    std::size_t domain = 0;
     /// Whether the target had told its sender the limit that it named then.
     bool isTold = false;
 };
@@ -55,14 +61,19 @@
         , m_random(seed)
         , m_lossChance(lossChance)
         , m_pools(shape.domains, LimitPool(shape.domains))
+        , m_rivals(shape.domains, LimitPool(shape.domains))
+        , m_rivalsUntil(shape.domains)
+        , m_owners(shape.domains)
         , m_isCut(shape.domains, false)
         , m_vms(shape.domains * shape.vmsEach)
     {
         for (std::size_t domain = 0; domain < shape.domains; ++domain) {
+            m_owners[domain] = std::to_string(domain);
             m_pools[domain].setPlace(domain, shape.domains);
-            m_pools[domain].setIsOwner(true,
-                                       Start - LimitPool::HandoverTime - LimitPool::NewOwnerTime);
+            m_rivals[domain].setPlace(domain, shape.domains);
+            m_pools[domain].setIsOwner(true, Start - PermitRoute::SettleTime);
         }
+        updateRoutes(Start - PermitRoute::SettleTime);
     }
 
     Clock::time_point now() const { return m_now; }
@@ -72,11 +83,16 @@
         ++m_phase;
         arrivals.clear();
     }
-    void setCut(std::size_t domain, bool isCut) { m_isCut[domain] = isCut; }
+    void setCut(std::size_t domain, bool isCut)
+    {
+        m_isCut[domain] = isCut;
+        at(m_now + NoticeTime, [this] { updateRoutes(m_now); });
+    }
     /// Starts a VM again. The first VM of a domain owns its pool.
     void restart(std::size_t vm)
     {
         m_vms[vm] = Vm();
+        updateRoutes(m_now);
         if (vm % m_shape.vmsEach == 0)
             loseOwner(vm / m_shape.vmsEach);
     }
@@ -85,7 +101,29 @@
     void loseOwner(std::size_t domain)
     {
         m_pools[domain].setIsOwner(false, m_now);
-        at(m_now + 4s, [this, domain] { m_pools[domain].setIsOwner(true, m_now); });
+        at(m_now + NoticeTime, [this, domain] {
+            m_pools[domain].setIsOwner(true, m_now);
+            m_owners[domain] += '\'';
+            updateRoutes(m_now);
+        });
+    }
+    /// Lets half of the VMs of a domain take another one of them for the owner of its pool for a
+    /// while, as VMs do that do not agree on who is alive. Ignored if more than half of the domains
+    /// would have two owners then.
+    void addRival(std::size_t domain)
+    {
+        const auto rivals =
+            std::count_if(m_rivalsUntil.begin(), m_rivalsUntil.end(),
+                          [this](Clock::time_point until) { return m_now < until; });
+        if (2 * static_cast<std::size_t>(rivals + 1) > m_shape.domains)
+            return;
+        m_rivals[domain].setIsOwner(true, m_now);
+        m_rivalsUntil[domain] = m_now + RivalTime;
+        updateRoutes(m_now);
+        at(m_now + RivalTime, [this, domain] {
+            m_rivals[domain].setIsOwner(m_now < m_rivalsUntil[domain], m_now);
+            updateRoutes(m_now);
+        });
     }
     void runUntil(Clock::time_point end)
     {
@@ -124,17 +162,17 @@
         }
         return most;
     }
-    std::size_t arrivalsSince(Clock::time_point from) const
+    /// Those from VMs of one domain, if that is given.
+    std::size_t arrivalsSince(Clock::time_point from,
+                              std::optional<std::size_t> domain = std::nullopt) const
     {
-        return static_cast<std::size_t>(
-            std::count_if(arrivals.begin(), arrivals.end(),
-                          [from](const Arrival &each) { return each.at >= from; }));
+        return countSince(arrivals, from, domain);
     }
     /// Those at VMs that reach the target.
-    std::size_t callsSince(Clock::time_point from) const
+    std::size_t callsSince(Clock::time_point from,
+                           std::optional<std::size_t> domain = std::nullopt) const
     {
-        return static_cast<std::size_t>(m_calls.end()
-                                        - std::lower_bound(m_calls.begin(), m_calls.end(), from));
+        return countSince(m_calls, from, domain);
     }
     double draw() { return std::uniform_real_distribution<double>(0.0, 1.0)(m_random); }
     std::size_t below(std::size_t bound) { return m_random() % bound; }
@@ -147,27 +185,70 @@
     {
         TargetLimit limit;
         LimitShare share;
+        PermitRoute route;
         std::size_t toldPhase = 0;
     };
+    /// A request at a VM.
+    struct Call
+    {
+        Clock::time_point at;
+        std::size_t domain = 0;
+    };
+
+    /// How long VMs take to notice that another one is gone.
+    static constexpr milliseconds NoticeTime{4600};
+    static constexpr milliseconds RivalTime{5000};
+
+    template <typename Events>
+    static std::size_t countSince(const Events &events, Clock::time_point from,
+                                  std::optional<std::size_t> domain)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(events.begin(), events.end(), [from, domain](const auto &each) {
+                return each.at >= from && (!domain || each.domain == *domain);
+            }));
+    }
 
     void at(Clock::time_point time, std::function<void()> event)
     {
         m_events.emplace(time, std::move(event));
     }
+    std::size_t domainOf(std::size_t vm) const { return vm / m_shape.vmsEach; }
+    /// Tells all VMs the owners of the pools.
+    void updateRoutes(Clock::time_point now)
+    {
+        for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+            const std::size_t domain = domainOf(vm);
+            VmId own = m_owners[domain];
+            if (vm % 2 == 1 && now < m_rivalsUntil[domain])
+                own += RivalMark;
+            std::optional<VmId> other;
+            for (std::size_t i = 1; i < m_shape.domains && !other; ++i) {
+                const std::size_t next = (domain + i) % m_shape.domains;
+                if (!m_isCut[domain] && !m_isCut[next])
+                    other = m_owners[next];
+            }
+            m_vms[vm].route.setOwners(own, std::move(other), now);
+        }
+    }
     milliseconds delay() { return milliseconds(below(50) == 0 ? below(200) : 1); }
     HeardLimit heard(const Vm &vm) const
     {
         return {1, vm.limit.value(),
                 std::chrono::duration_cast<milliseconds>(m_now - vm.limit.heardAt())};
     }
-    /// Asks the pool of a VM's domain for a permit that no request depends on.
+    /// Asks a pool for a permit that no request depends on.
     void ask(std::size_t vm)
     {
-        if (draw() < m_lossChance)
+        const VmId owner = m_vms[vm].route.ownerToAsk(m_now);
+        const std::size_t domain = std::stoul(owner);
+        const bool isCut = domain != domainOf(vm) && (m_isCut[domain] || m_isCut[domainOf(vm)]);
+        if (isCut || draw() < m_lossChance)
             return;
         const PermitAsk ask{255, 0, 0, 0ms, {{heard(m_vms[vm])}}};
-        at(m_now + delay(), [this, vm, ask] {
-            const auto outcome = m_pools[vm / m_shape.vmsEach].grant(ask, m_now);
+        LimitPool &pool = owner.back() == RivalMark ? m_rivals[domain] : m_pools[domain];
+        at(m_now + delay(), [this, vm, ask, &pool] {
+            const auto outcome = pool.grant(ask, m_now);
             if (draw() < m_lossChance)
                 return;
             at(m_now + delay(), [this, vm, outcome] {
@@ -207,8 +288,8 @@
     void call(std::size_t index)
     {
         Vm &vm = m_vms[index];
-        if (!m_isCut[index / m_shape.vmsEach])
-            m_calls.push_back(m_now);
+        if (!m_isCut[domainOf(index)])
+            m_calls.push_back({m_now, domainOf(index)});
         if (!vm.limit.isLimited()) {
             if (below(m_shape.siblings + 1) == 0)
                 send(index);
@@ -236,9 +317,9 @@
         if (!sender.limit.onSent(m_now))
             return;
         sender.share.onSent();
-        if (m_isCut[index / m_shape.vmsEach])
+        if (m_isCut[domainOf(index)])
             return;
-        arrivals.push_back({m_now, sender.toldPhase == m_phase});
+        arrivals.push_back({m_now, domainOf(index), sender.toldPhase == m_phase});
         at(m_now + milliseconds(5 + below(60)),
            [this, index, limit = m_limit, phase = m_phase, sentAt = m_now] {
                Vm &vm = m_vms[index];
@@ -254,10 +335,15 @@
     std::mt19937_64 m_random;
     double m_lossChance;
     std::vector<LimitPool> m_pools;
+    /// The pools of those VMs that some others take for the owner.
+    std::vector<LimitPool> m_rivals;
+    std::vector<Clock::time_point> m_rivalsUntil;
+    /// The owner of each domain's pool: the number of the domain, with a mark for each change.
+    std::vector<VmId> m_owners;
     std::vector<bool> m_isCut;
     std::vector<Vm> m_vms;
     std::multimap<Clock::time_point, std::function<void()>> m_events;
-    std::vector<Clock::time_point> m_calls;
+    std::vector<Call> m_calls;
     std::optional<double> m_limit;
     std::size_t m_phase = 1;
     Clock::time_point m_now = Start;
@@ -340,6 +426,37 @@
         }
 }
 
+TEST_CASE("A domain that has just lost the owner of its pool uses a target within eight seconds of "
+          "the end of its limit")
+{
+    for (const std::size_t domains : {1U, 2U, 3U, 5U})
+        for (const double limit : {0.0, 0.3, 1.0, 2.0, 5.0})
+            for (const double rate : {3.0, 10.0, 160.0}) {
+                double got = 0.0;
+                double part = 0.0;
+                for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+                    FleetShape shape;
+                    shape.domains = domains;
+                    shape.busyVms = domains * shape.vmsEach;
+                    shape.rate = rate;
+                    LimitedFleet fleet(shape, seed, 0.0);
+                    fleet.setLimit(limit);
+                    fleet.runUntil(Start + 1s + milliseconds(fleet.below(14'000)));
+                    const std::size_t domain = fleet.below(domains);
+                    fleet.loseOwner(domain);
+                    // As the limit ends, or up to 4 s before.
+                    fleet.runUntil(fleet.now() + milliseconds(fleet.below(2) * fleet.below(4000)));
+                    fleet.setLimit(std::nullopt);
+                    const Clock::time_point from = fleet.now() + 8s;
+                    fleet.runUntil(from + 1s);
+                    got += static_cast<double>(fleet.arrivalsSince(from, domain));
+                    part += static_cast<double>(fleet.callsSince(from, domain)) / 6.0;
+                }
+                CAPTURE(domains, limit, rate, got, part);
+                CHECK(got >= 0.5 * part);
+            }
+}
+
 TEST_CASE("Whatever limits come, change and end, a target gets no more than it names, and its part "
           "when it names none")
 {
@@ -368,6 +485,10 @@
                 const std::size_t domain = below(shape.domains);
                 if (below(4) == 0)
                     fleet.restart(below(shape.domains * shape.vmsEach));
+                if (below(8) == 0)
+                    fleet.loseOwner(domain);
+                if (below(8) == 0)
+                    fleet.addRival(domain);
                 if (below(4) == 0) {
                     fleet.setCut(domain, true);
                     isCut = true;
@@ -382,8 +503,7 @@
         for (std::size_t domain = 0; domain < shape.domains; ++domain)
             fleet.setCut(domain, false);
         fleet.setLimit(std::nullopt);
-        // The owners of all pools may have been lost just now, which the others notice after 4 s.
-        const Clock::time_point from = fleet.now() + 4s + 8s;
+        const Clock::time_point from = fleet.now() + 8s;
         fleet.runUntil(from + 60s);
         const auto got = static_cast<double>(fleet.arrivalsSince(from));
         const auto part =
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -283,10 +283,11 @@
         // is alive.
         std::vector<LimitPool> rivals(domains, LimitPool(domains));
         const Clock::time_point rivalsFrom = Ready + std::chrono::milliseconds(below(8000));
-        const bool hasRivals = domains > 1 && below(3) == 0;
+        // The owners of the only domain may grant too much of a high limit.
+        const bool hasRivals = (domains > 1 || limit <= 2.0) && below(3) == 0;
         for (std::size_t i = 0; i < domains; ++i) {
             pools[i].setIsOwner(true, Start);
-            if (hasRivals && i < domains / 2)
+            if (hasRivals && i < std::max<std::size_t>(domains / 2, 1))
                 rivals[i].setIsOwner(true, rivalsFrom);
         }
         std::vector<TargetLimit> vms(domains * vmsEach);
--- a/test/unit/permitaccess_test.cpp
+++ b/test/unit/permitaccess_test.cpp
@@ -133,3 +133,17 @@
     CHECK(withLoans >= 200);
     CHECK(withLoans <= 310);
 }
+
+TEST_CASE("VMs whose pool owner is new get their permits from the owner of another domain")
+{
+    Fleet fleet({{"a-0", "a"}, {"b-0", "b"}, {"c-0", "c"}});
+    // All owners are new, so that none grants; what counts is who is asked.
+    const Clock::time_point now = Clock::now();
+    fleet.vms[1]->request(requestOf(1, 1.0), now);
+    CHECK(fleet.replies[1].empty());
+    CHECK(fleet.deliver(now) == 2);
+    CHECK(fleet.replies[1].size() == 1);
+    fleet.vms[1]->request(requestOf(2, 1.0), now + PermitRoute::SettleTime + 1s);
+    CHECK(fleet.replies[1].size() == 2);
+    CHECK(fleet.deliver(now) == 0);
+}
