--- a/test/system/entrylimits_test.cpp
+++ b/test/system/entrylimits_test.cpp
@@ -79,6 +79,26 @@
         time);
 }
 
+/// Starts a second VM, and returns which of the two grants the permits.
+int startSecondVm(EntrySystem &system)
+{
+    system.startVm(2);
+    REQUIRE(eventually([&system] {
+        return system.isReady(2)
+            && system.registry(1).at("limit_pool_owner")
+            == system.registry(2).at("limit_pool_owner");
+    }));
+    return system.registry(1).at("limit_pool_owner") == "a-1" ? 1 : 2;
+}
+
+/// Publishes a configuration in which orders are keyed requests, and waits until it is in force.
+void makeOrdersKeyed(EntrySystem &system)
+{
+    system.publishConfiguration(2, "s1", 26, seconds(60), "keyed");
+    REQUIRE(eventually(
+        [&system] { return contains(system.log(), "configuration_adopted version=2"); }));
+}
+
 } // namespace
 
 TEST_CASE("A target that names a limit is used while another one names none")
@@ -90,6 +110,10 @@
     SECTION("for requests that may run at most once")
     {
     }
+    SECTION("for keyed requests")
+    {
+        makeOrdersKeyed(system);
+    }
     SECTION("for safe requests")
     {
         system.publishConfiguration(2, "orders");
@@ -130,6 +154,11 @@
     {
         nameLimit("5");
     }
+    SECTION("when its requests are keyed")
+    {
+        makeOrdersKeyed(system);
+        nameLimit("5");
+    }
     SECTION("when it names an invalid one")
     {
         nameLimit("5");
@@ -150,16 +179,24 @@
     }
     SECTION("although the VM that granted the permits was lost")
     {
-        system.startVm(2);
-        REQUIRE(eventually([&system] {
-            return system.isReady(2)
-                && system.registry(1).at("limit_pool_owner")
-                == system.registry(2).at("limit_pool_owner");
-        }));
-        const int owner = system.registry(1).at("limit_pool_owner") == "a-1" ? 1 : 2;
-        vm = 3 - owner;
+        vm = 3 - startSecondVm(system);
         nameLimit("5");
-        system.vm(owner).signal(SIGKILL);
+        system.vm(3 - vm).signal(SIGKILL);
+    }
+    SECTION("although that VM was lost when the limit was zero")
+    {
+        vm = 3 - startSecondVm(system);
+        nameLimit("0");
+        system.vm(3 - vm).signal(SIGKILL);
+    }
+    SECTION("although one of two failure domains lost that VM when the limit was zero")
+    {
+        vm = 3 - startSecondVm(system);
+        system.startVm(3, "1", "b");
+        REQUIRE(eventually([&system] { return system.isReady(3); }));
+        std::this_thread::sleep_for(NewOwnerTime);
+        nameLimit("0");
+        system.vm(3 - vm).signal(SIGKILL);
     }
     system.setTargetMode("i-oa", mode);
     REQUIRE(sendUntilLogged(system, "event=target_limit_ended target=i-oa", ReturnTime, vm));
