Report from a home in time that no target can have got a request

Cause: a home ended a request that waited for a connection, or for a slot of a target whose latency is not known, at the request's deadline. Its root, which has the same deadline, then no longer waits: the shard was reported as may_have_run although the home had sent no copy of it.

Change: a request that no target can have got ends 10 ms before its deadline, which is the margin that submissions have between issuer and home, or a tenth of its time. What has been sent keeps its whole time. A call whose action the owner has not performed yet counts as sent: a late timer event could send a request and report it as not run at once.

Ruled out: a request in a queue whose targets' latency is known; it ended by one latency before its deadline already. A home that is silent itself (paused, or cut off) stays may_have_run: its root cannot know what the home has sent.

--- a/include/mangoshift/slotscheduler.h
+++ b/include/mangoshift/slotscheduler.h
@@ -153,7 +153,9 @@
 /// - the calls in flight from this VM to a target never exceed the target's slots;
 /// - a reply says `NotRun` if and only if no target can have got the request, or each target that
 /// got it has said that it did not run it;
-/// - each request gets exactly one `ReplyShard`, by its deadline if `onTimer` is called in time;
+/// - each request gets exactly one `ReplyShard`, by its deadline if `onTimer` is called in time,
+/// and so much earlier that the reply is of use to the requester if no target can have got the
+/// request;
 /// - a request that is not idempotent is sent again only after its earlier call ended with
 /// `NotRun`;
 /// - hedges, retries and probes together never exceed a fraction of first copies.
@@ -224,6 +226,10 @@
         std::vector<const internal::TargetState *> tried;
         Clock::time_point hedgeAt{};
         std::uint32_t extraRequests = 0;
+        /// When the request ends if no target can have got it.
+        Clock::time_point unsentLimit{};
+        /// Whether the request is checked at its deadline too.
+        bool isDeadlineScheduled = false;
         /// Whether any failed copy may have run.
         bool mayHaveRun = false;
     };
@@ -290,6 +296,8 @@
     void finishCall(const Call &call, CallId id, CallOutcome outcome, Clock::time_point now);
     void onTimerEntry(const TimerEntry &entry, Clock::time_point now);
     void onRequestTimer(Pending &pending, Clock::time_point now);
+    /// Ends a request that can no longer be sent in time.
+    void refuseLate(Pending &pending, Clock::time_point now);
 
     void refuse(Pending &pending, Reason reason, std::chrono::microseconds retryAfter,
                 Clock::time_point now);
@@ -317,6 +325,8 @@
     std::size_t m_waitingCount = 0;
     std::uint64_t m_lastSequence = 0;
     CallId m_lastCall = 0;
+    /// The last call whose action was returned to the owner.
+    CallId m_lastTakenCall = 0;
 };
 
 } // namespace mangoshift
--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -20,6 +20,10 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+/// A request that no target can have got ends this long before its deadline, so that the reply
+/// arrives while the requester can still pass on that the request has not run. For short deadlines
+/// the margin is a tenth of the time.
+constexpr milliseconds UnsentReplyMargin{10};
 /// The maximum time after which a refused requester is told to retry.
 constexpr std::chrono::seconds MaxRetryAfter{5};
 /// How many requests of a queue are examined to find one that a free replica can run.
@@ -66,6 +70,8 @@
     Pending &pending = m_pending[id];
     pending.request = std::move(request);
     pending.set = set;
+    const Clock::duration timeLeft = std::max(deadline - now, Clock::duration::zero());
+    pending.unsentLimit = deadline - std::min<Clock::duration>(UnsentReplyMargin, timeLeft / 10);
     // If no call is in flight, the request is sent even if it seems too late: no other call would
     // show that the targets have become faster.
     const bool cannotMeetDeadline =
@@ -100,8 +106,10 @@
 bool SlotScheduler::mayHaveArrived(const Pending &pending) const
 {
     return pending.mayHaveRun
-        || std::any_of(pending.calls.begin(), pending.calls.end(),
-                       [this](CallId call) { return m_calls.at(call).hasBeenSent; });
+        || std::any_of(pending.calls.begin(), pending.calls.end(), [this](CallId call) {
+               // The owner has not performed the latest actions yet.
+               return call > m_lastTakenCall || m_calls.at(call).hasBeenSent;
+           });
 }
 
 SchedulerActions SlotScheduler::onCallEnded(CallId call, CallOutcome outcome, Clock::time_point now)
@@ -147,14 +155,18 @@
 void SlotScheduler::onRequestTimer(Pending &pending, Clock::time_point now)
 {
     const Clock::time_point deadline = pending.request.deadline;
+    if (now >= pending.unsentLimit && !mayHaveArrived(pending)) {
+        refuseLate(pending, now);
+        return;
+    }
     if (pending.isWaiting && pending.calls.empty()) {
         const Clock::time_point latestStart = deadline - pending.set->typicalLatency(now);
-        if (now >= latestStart) {
-            pending.set->overloadedUntil = now + OverloadDuration;
-            refuse(pending, Reason::DeadlineExceeded, pending.set->expectedWait(now), now);
-        } else {
-            schedule(latestStart, pending.request.id);
-        }
+        if (now >= latestStart)
+            refuseLate(pending, now);
+        else
+            schedule(now < pending.unsentLimit ? std::min(latestStart, pending.unsentLimit)
+                                               : latestStart,
+                     pending.request.id);
         return;
     }
     if (now >= deadline) {
@@ -163,6 +175,10 @@
         replyTo(pending, std::move(outcome), now);
         return;
     }
+    if (!pending.isDeadlineScheduled && now >= pending.unsentLimit) {
+        pending.isDeadlineScheduled = true;
+        schedule(deadline, pending.request.id);
+    }
     if (now < pending.hedgeAt || pending.isWaiting)
         return;
     // The late call may have made its replica suspect; waiting requests may now use slower ones.
@@ -170,6 +186,13 @@
     tryHedge(pending, now);
 }
 
+void SlotScheduler::refuseLate(Pending &pending, Clock::time_point now)
+{
+    if (pending.isWaiting)
+        pending.set->overloadedUntil = now + OverloadDuration;
+    refuse(pending, Reason::DeadlineExceeded, pending.set->expectedWait(now), now);
+}
+
 void SlotScheduler::enqueue(Pending &pending, Clock::time_point now)
 {
     ReplicaSet &set = *pending.set;
@@ -180,7 +203,8 @@
     set.waiting.emplace(QueueKey{pending.request.body->priority, pending.sequence},
                         internal::QueuedRequest{pending.request.id, pending.request.deadline});
     ++m_waitingCount;
-    schedule(pending.request.deadline - set.typicalLatency(now), pending.request.id);
+    const Clock::time_point latestStart = pending.request.deadline - set.typicalLatency(now);
+    schedule(std::min(latestStart, pending.unsentLimit), pending.request.id);
 }
 
 void SlotScheduler::dequeue(Pending &pending)
@@ -323,7 +347,7 @@
     m_actions.emplace_back(SendToTarget{id, replica.index, pending.request});
     if (kind == CopyKind::Probe)
         return;
-    schedule(pending.request.deadline, pending.request.id);
+    schedule(pending.unsentLimit, pending.request.id);
     if (m_options.hedges && pending.request.body->isIdempotent && !pending.hasHedge) {
         pending.hedgeAt = now + pending.set->hedgeDelay();
         if (pending.hedgeAt < pending.request.deadline)
@@ -499,6 +523,7 @@
         m_armedAt = m_timers.top().at;
         m_actions.emplace_back(ArmSchedulerTimer{m_armedAt});
     }
+    m_lastTakenCall = m_lastCall;
     return std::exchange(m_actions, {});
 }
 
--- a/test/unit/slotscheduler_invariants_test.cpp
+++ b/test/unit/slotscheduler_invariants_test.cpp
@@ -73,7 +73,10 @@
         /// The copies in flight that their targets may have got.
         int sentInFlight = 0;
         bool mayHaveRun = false;
+        /// Whether a target has got a copy, whatever became of it.
+        bool hasArrived = false;
         bool isReportedNotRun = false;
+        Clock::time_point unsentLimit;
 
         int extra() const { return std::max(copies - 1 - unsent, 0); }
     };
@@ -128,6 +131,8 @@
         body->isIdempotent = randomInt(0, 3) != 0;
         request.body = std::move(body);
         m_requests[request.id].request = request;
+        m_requests[request.id].unsentLimit = request.deadline
+            - std::min<Clock::duration>(milliseconds(10), (request.deadline - m_now) / 10);
         perform(m_scheduler.onRequest(std::move(request), m_now));
     }
 
@@ -174,6 +179,7 @@
         TrackedRequest &tracked = m_requests.at(inFlightCall.request);
         REQUIRE_FALSE(tracked.isReportedNotRun);
         ++tracked.sentInFlight;
+        tracked.hasArrived = true;
         m_scheduler.onCallSent(call);
     }
 
@@ -268,6 +274,9 @@
         REQUIRE(m_now <= tracked.request.deadline);
         const bool isNotRun = reply.outcome.verdict.execution == Execution::NotRun;
         REQUIRE(isNotRun == !(tracked.mayHaveRun || tracked.sentInFlight > 0));
+        // In time for the requester to pass it on.
+        if (!tracked.hasArrived)
+            REQUIRE(m_now <= tracked.unsentLimit);
         tracked.isReportedNotRun = isNotRun;
     }
 
