--- a/standins/fakeservers.cpp
+++ b/standins/fakeservers.cpp
@@ -6,14 +6,15 @@
 // A server runs each request whose X-Expect-Instance header is absent or names the server. The
 // response carries a stamp (the X-Server-Stamp header) and 16-byte records derived from the name
 // of the service and, with `--records-by-id`, from the request id. These options apply to all
-// servers: --work-ms, --slots, --queue, --connections, --pause-ms, --pause-every-ms, and --events
-// FILE, which writes a line for each arrival, run, refusal, end and cancellation. The control
-// address takes:
+// servers: --work-ms, --max-work-ms, --slots, --queue, --connections, --pause-ms, --pause-every-ms,
+// and --events FILE, which writes a line for each arrival, run, refusal, end and cancellation. The
+// control address takes:
 //
 //     POST /mode?ID      sets how the server behaves, see `Server::mode`
 //     POST /end?ID       shuts the server down; its address refuses connections
 //     POST /replace?ID   replaces the server with the one in the body, NEW-ID=SERVICE
 //     GET /ran           returns a JSON object: request id -> ids of the servers that ran it
+//     GET /got           the same with the servers that received it, including refused requests
 //     GET /arrivals      returns the number of requests received, including refused ones
 
 #include <cstdio>
@@ -53,6 +54,7 @@
 Arguments parseArguments(int argc, char **argv)
 {
     static const option longOptions[] = {{"work-ms", required_argument, nullptr, 'w'},
+                                         {"max-work-ms", required_argument, nullptr, 'm'},
                                          {"slots", required_argument, nullptr, 's'},
                                          {"queue", required_argument, nullptr, 'q'},
                                          {"connections", required_argument, nullptr, 'c'},
@@ -69,6 +71,9 @@
         case 'w':
             options.serviceTime = milliseconds(std::stoi(value));
             break;
+        case 'm':
+            options.maxServiceTime = milliseconds(std::stoi(value));
+            break;
         case 's':
             options.slots = std::stoul(value);
             break;
@@ -109,11 +114,13 @@
     return {asio::ip::make_address(address->ip), address->port};
 }
 
-std::string runsJson(const Servers &servers)
+using Counts = std::map<std::string, std::size_t>;
+
+std::string countsJson(const Servers &servers, Counts Server::*counts)
 {
     std::map<std::string, std::vector<std::string>> serversByRequest;
     for (const auto &server : servers)
-        for (const auto &[request, times] : server->runCounts)
+        for (const auto &[request, times] : (*server).*counts)
             for (std::size_t i = 0; i < times; ++i)
                 serversByRequest[request].push_back(server->id());
     return Json(serversByRequest).dump();
@@ -146,8 +153,12 @@
         response.status = 200;
         const std::size_t queryStart = request.target.find('?');
         const std::string id = request.target.substr(queryStart + 1);
-        if (request.method == "GET")
-            response.body = request.target == "/ran" ? runsJson(servers) : arrivalsText(servers);
+        if (request.target == "/ran")
+            response.body = countsJson(servers, &Server::runCounts);
+        else if (request.target == "/got")
+            response.body = countsJson(servers, &Server::arrivalCounts);
+        else if (request.method == "GET")
+            response.body = arrivalsText(servers);
         else
             for (const auto &server : servers)
                 if (server->id() == id)
--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -46,6 +46,7 @@
     , m_events(events)
     , m_pauseOffset(XXH64(m_id.data(), m_id.size(), 0)
                     % static_cast<std::uint64_t>(options.pauseInterval.count()))
+    , m_random(static_cast<std::uint32_t>(XXH64(m_id.data(), m_id.size(), 1)))
 {
 }
 
@@ -72,6 +73,7 @@
     m_id = std::move(id);
     m_service = std::move(service);
     mode = "ok";
+    arrivalCounts.clear();
     runCounts.clear();
     open(m_endpoint);
 }
@@ -117,6 +119,7 @@
     }
     const std::string requestId(request.headers.value("x-request-id"));
     ++arrivals;
+    ++arrivalCounts[requestId];
     recordEvent("arrived", requestId, request.method + " " + request.target + " " + request.body);
     const std::string_view expected = request.headers.value("x-expect-instance");
     if (!expected.empty() && expected != m_id) {
@@ -176,6 +179,14 @@
     return std::max(milliseconds(0), m_options.pause - phase);
 }
 
+milliseconds Server::drawServiceTime()
+{
+    const milliseconds least = m_options.serviceTime;
+    const milliseconds most = std::max(least, m_options.maxServiceTime);
+    return milliseconds(
+        std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(m_random));
+}
+
 void Server::startJob(Job job)
 {
     ++runCounts[job.requestId];
@@ -188,7 +199,7 @@
     }
     const Clock::time_point now = Clock::now();
     const milliseconds serviceTime =
-        m_options.serviceTime * (mode == "slow" ? SlowFactor : 1) + delay + remainingPause(now);
+        drawServiceTime() * (mode == "slow" ? SlowFactor : 1) + delay + remainingPause(now);
     const Clock::time_point end = std::min(now + serviceTime, job.deadline);
     job.timer = std::make_unique<asio::basic_waitable_timer<Clock>>(m_io, end);
     job.timer->async_wait([this, number = job.number](const asio::error_code &error) {
--- a/standins/fakeservers/server.h
+++ b/standins/fakeservers/server.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
 {
     /// How long a request runs. With zero the response is sent at once.
     std::chrono::milliseconds serviceTime{0};
+    /// If it is longer than `serviceTime`, each request runs for a random time between both.
+    std::chrono::milliseconds maxServiceTime{0};
     std::size_t slots = 0; ///< Requests that run concurrently; 0 means no limit.
     std::size_t queueLimit = 8; ///< Requests that may wait for a slot; further ones are refused.
     std::size_t maxConnections = 1000; ///< Further connections are reset.
@@ -48,7 +51,7 @@
     /// Shuts the server down: its address refuses connections, and open connections are reset.
     void close();
     /// Shuts this server down and starts another one at the same address, in mode "ok" and with no
-    /// runs counted. `arrivals` keeps counting.
+    /// requests counted. `arrivals` keeps counting.
     void replaceWith(std::string id, std::string service);
 
     void onRequest(const std::shared_ptr<ServerConnection> &connection, const HttpRequest &request);
@@ -68,6 +71,8 @@
     std::string mode = "ok";
     /// The number of requests received, except health checks.
     std::uint64_t arrivals = 0;
+    /// How often each request was received, by request id.
+    std::map<std::string, std::size_t> arrivalCounts;
     /// How often each request was run, by request id.
     std::map<std::string, std::size_t> runCounts;
 
@@ -92,6 +97,7 @@
     void finishJob(std::uint64_t number);
     /// Sends the response that `mode` selects; a job that is not in time gets a 504 response.
     void respondTo(const Job &job, bool isInTime);
+    std::chrono::milliseconds drawServiceTime();
     std::chrono::milliseconds remainingPause(Clock::time_point now) const;
     int statusFor(bool isInTime) const;
     /// Adds what the server says about itself.
@@ -113,6 +119,7 @@
     std::deque<Job> m_queued;
     std::uint64_t m_responses = 0;
     std::chrono::milliseconds m_pauseOffset;
+    std::minstd_rand m_random;
 };
 
 } // namespace mangoshift
--- a/test/system/entrysystem.h
+++ b/test/system/entrysystem.h
@@ -240,20 +240,21 @@
     /// Returns the `registry` object from the state dump of a VM.
     nlohmann::json registry(int vm) { return state(vm).at("registry"); }
 
+    /// Returns the ids of the targets that have run each request, in order, by request id.
+    nlohmann::json runs() { return countsOf("/ran"); }
+    /// Returns the same of the targets that have received it, including those that refused it.
+    nlohmann::json arrivals() { return countsOf("/got"); }
+
     /// Returns the ids of the targets that ran the request, in order.
     std::vector<std::string> targetsThatRan(const std::string &id)
     {
-        const auto result = httplib::Client(loopbackIp("2"), ControlPort).Get("/ran");
-        REQUIRE(result);
-        return nlohmann::json::parse(result->body).value(id, std::vector<std::string>());
+        return runs().value(id, std::vector<std::string>());
     }
 
     /// Returns how many requests a target has run.
     int runCount(const std::string &target)
     {
-        const auto result = httplib::Client(loopbackIp("2"), ControlPort).Get("/ran");
-        REQUIRE(result);
-        const nlohmann::json runs = nlohmann::json::parse(result->body);
+        const nlohmann::json runs = this->runs();
         int count = 0;
         for (const auto &[id, targets] : runs.items())
             count += static_cast<int>(std::count(targets.begin(), targets.end(), target));
@@ -311,6 +312,12 @@
     {
         return loopbackIp(lastOctet) + ":" + std::to_string(port);
     }
+    static nlohmann::json countsOf(const std::string &path)
+    {
+        const auto result = httplib::Client(loopbackIp("2"), ControlPort).Get(path);
+        REQUIRE(result);
+        return nlohmann::json::parse(result->body);
+    }
     static bool sendControlRequest(const std::string &lastOctet, const std::string &method,
                                    const std::string &path, const std::string &body)
     {
