--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -18,6 +18,10 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+/// A request that no target can have got ends this long before its deadline, so that the reply
+/// arrives while the requester can still pass on that the request has not run. For short deadlines
+/// the margin is a tenth of the time.
+constexpr milliseconds UnsentReplyMargin{10};
 /// A hedge for which there was no free slot or no budget is tried again after this time.
 constexpr milliseconds HedgeRetryInterval{2};
 /// The number of tokens that probes leave in the budget for hedges.
@@ -58,6 +62,8 @@
     Pending &pending = m_pending[id];
     pending.request = std::move(request);
     pending.set = set;
+    const Clock::duration timeLeft = std::max(deadline - now, Clock::duration::zero());
+    pending.unsentLimit = deadline - std::min<Clock::duration>(UnsentReplyMargin, timeLeft / 10);
     // If no call is in flight, the request is sent even if it seems too late: no other call would
     // show that the targets have become faster.
     const bool cannotMeetDeadline =
@@ -93,8 +99,10 @@
 bool SlotScheduler::mayHaveArrived(const Pending &pending) const
 {
     return pending.mayHaveRun
-        || std::any_of(pending.calls.begin(), pending.calls.end(),
-                       [this](CallId call) { return m_calls.at(call).hasBeenSent; });
+        || std::any_of(pending.calls.begin(), pending.calls.end(), [this](CallId call) {
+               // The owner has not performed the latest actions yet.
+               return call > m_lastTakenCall || m_calls.at(call).hasBeenSent;
+           });
 }
 
 SchedulerActions SlotScheduler::onCallEnded(CallId call, CallOutcome outcome, Clock::time_point now)
@@ -140,14 +148,18 @@
 void SlotScheduler::onRequestTimer(Pending &pending, Clock::time_point now)
 {
     const Clock::time_point deadline = pending.request.deadline;
+    if (now >= pending.unsentLimit && !mayHaveArrived(pending)) {
+        refuseLate(pending, now);
+        return;
+    }
     if (pending.isWaiting && pending.calls.empty()) {
         const Clock::time_point latestStart = deadline - pending.set->typicalLatency(now);
-        if (now >= latestStart) {
-            pending.set->onOverload(now);
-            refuse(pending, Reason::DeadlineExceeded, pending.set->expectedWait(now), now);
-        } else {
-            schedule(latestStart, pending.request.id);
-        }
+        if (now >= latestStart)
+            refuseLate(pending, now);
+        else
+            schedule(now < pending.unsentLimit ? std::min(latestStart, pending.unsentLimit)
+                                               : latestStart,
+                     pending.request.id);
         return;
     }
     if (now >= deadline) {
@@ -156,6 +168,10 @@
         replyTo(pending, std::move(outcome), now);
         return;
     }
+    if (!pending.isDeadlineScheduled && now >= pending.unsentLimit) {
+        pending.isDeadlineScheduled = true;
+        schedule(deadline, pending.request.id);
+    }
     if (now < pending.hedgeAt || pending.isWaiting)
         return;
     // The late call may have made its replica suspect; waiting requests may now use slower ones.
@@ -180,7 +196,7 @@
     m_actions.emplace_back(SendToTarget{id, replica.index, pending.request});
     if (kind == CopyKind::Probe)
         return;
-    schedule(pending.request.deadline, pending.request.id);
+    schedule(pending.unsentLimit, pending.request.id);
     if (m_options.hedges && pending.request.body->isIdempotent && !pending.hasHedge) {
         pending.hedgeAt = now + pending.set->hedgeDelay();
         if (pending.hedgeAt < pending.request.deadline)
@@ -356,6 +372,7 @@
         m_armedAt = m_timers.top().at;
         m_actions.emplace_back(ArmSchedulerTimer{m_armedAt});
     }
+    m_lastTakenCall = m_lastCall;
     return std::exchange(m_actions, {});
 }
 
--- a/src/core/slotschedulerqueue.cpp
+++ b/src/core/slotschedulerqueue.cpp
@@ -26,6 +26,13 @@
 
 } // namespace
 
+void SlotScheduler::refuseLate(Pending &pending, Clock::time_point now)
+{
+    if (pending.isWaiting)
+        pending.set->onOverload(now);
+    refuse(pending, Reason::DeadlineExceeded, pending.set->expectedWait(now), now);
+}
+
 void SlotScheduler::enqueue(Pending &pending, Clock::time_point now)
 {
     ReplicaSet &set = *pending.set;
@@ -36,7 +43,8 @@
     set.waiting.emplace(QueueKey{pending.request.body->priority, pending.sequence},
                         internal::QueuedRequest{pending.request.id, pending.request.deadline});
     ++m_waitingCount;
-    schedule(pending.request.deadline - set.typicalLatency(now), pending.request.id);
+    const Clock::time_point latestStart = pending.request.deadline - set.typicalLatency(now);
+    schedule(std::min(latestStart, pending.unsentLimit), pending.request.id);
 }
 
 void SlotScheduler::dequeue(Pending &pending)
