--- a/test/unit/entryfixture.h
+++ b/test/unit/entryfixture.h
@@ -96,7 +96,13 @@
                                      + "X-Request-Id: " + id + "\r\n\r\n"));
         }
         void finishSending() { m_socket.shutdown(asio::ip::tcp::socket::shutdown_send); }
-        void leave() { m_socket.close(); }
+        void close() { m_socket.close(); }
+        /// Closes the connection with a TCP reset.
+        void reset()
+        {
+            m_socket.set_option(asio::socket_base::linger(true, 0));
+            m_socket.close();
+        }
         bool hasReceived(const std::string &text) const
         {
             return m_received.find(text) != std::string::npos;
@@ -187,7 +193,9 @@
     void advance(Clock::duration time)
     {
         poll();
-        standStill(time, [] {});
+        bool haveTimersExpired = false;
+        standStill(time, [&haveTimersExpired] { haveTimersExpired = true; });
+        REQUIRE(run([&haveTimersExpired] { return haveTimersExpired; }));
         poll();
         m_state.directory.sweep(Clock::now());
         poll();
