Give a caller that reads slowly the ten seconds that its answer may take

An answer may take 10 s to be written to a caller that reads slowly (`CallerTimeouts`). But the system ended the connection after 3 s in which the caller had read nothing, whether the VM was still writing the answer or the socket already held all of it: TCP_USER_TIMEOUT, which was meant to find lost peers, also counts while the other end's window is closed. The answer was cut off.

The price: as the same option governs the probes of an idle connection, a caller whose host has gone without a word is noticed after 10 s instead of 3 s. Its requests end by their own deadlines, and its connection by the idle limit, so nothing counts on the 3 s.

--- a/include/mangoshift/callertimeouts.h
+++ b/include/mangoshift/callertimeouts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string_view>
 
@@ -40,6 +41,9 @@
 class CallerTimeouts
 {
 public:
+    /// The maximum time to write a response to a caller that reads slowly.
+    static constexpr std::chrono::seconds WriteTimeout{10};
+
     enum class Due : std::uint8_t {
         Nothing,
         CloseIdle, ///< Close the connection gracefully.
--- a/src/core/callertimeouts.cpp
+++ b/src/core/callertimeouts.cpp
@@ -11,8 +11,6 @@
 /// The maximum time from the first byte of a request to the end of its body; applies once its
 /// headers are complete. Callers send at most 256 KiB.
 constexpr std::chrono::seconds BodyTimeout{10};
-/// The maximum time to write a response to a caller that reads slowly.
-constexpr std::chrono::seconds WriteTimeout{10};
 /// How long the socket is still read after the last response: closing a socket with unread data
 /// sends a reset, which could discard the response.
 constexpr std::chrono::seconds LingerTime{1};
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -63,7 +63,7 @@
 
 void CallerConnection::start()
 {
-    prepareSocket(m_socket);
+    prepareSocket(m_socket, CallerTimeouts::WriteTimeout);
     waitForData();
 }
 
--- a/src/http/socketoptions.cpp
+++ b/src/http/socketoptions.cpp
@@ -17,12 +17,10 @@
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
-/// The maximum time that sent data may stay unacknowledged.
-constexpr int UnacknowledgedMilliseconds = 3000;
 
 } // namespace
 
-void prepareSocket(asio::ip::tcp::socket &socket)
+void prepareSocket(asio::ip::tcp::socket &socket, std::chrono::milliseconds unacknowledged)
 {
     // Errors are ignored: with the system's defaults a lost peer is detected later, but the
     // timeouts of the connection's owner still apply.
@@ -33,7 +31,8 @@
     socket.set_option(TcpOption<TCP_KEEPIDLE>(KeepAliveIdleSeconds), ignored);
     socket.set_option(TcpOption<TCP_KEEPINTVL>(KeepAliveIntervalSeconds), ignored);
     socket.set_option(TcpOption<TCP_KEEPCNT>(KeepAliveProbes), ignored);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(UnacknowledgedMilliseconds), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(unacknowledged.count())),
+                      ignored);
 }
 
 } // namespace mangoshift
