Send nothing more once a request is being ended

The responses that have arrived are read before a request is judged by the time and before the final responses of a stop. Reading one makes room at its target, or starts a retry: at a stop, a request that waited for that room was sent and then ended as one that may have run, although it could have been refused as not run; after the deadline, a refusal as not run was followed by a retry that a second target got and whose request was ended at once.

Before a request is ended, nothing more is sent for it and what no target has got is taken back (RequestExchange::endSending, which a caller's half-close uses too). A stop does this for all requests before it reads for the first one. RequestMachine retries nothing at or after the deadline.

Evidence: with endSending and the check of the deadline taken out, unittests "A request that waits while*" and "A refusal that is read*" fail: { "first", "waiting-0" } == { "first" } at the target, 502 instead of 503, and { "r2", "r1" } == { "r2" } in both sections of the second. With them both pass.

--- a/include/mangoshift/requestmachine.h
+++ b/include/mangoshift/requestmachine.h
@@ -119,7 +119,7 @@
     /// failed, because it has neither a response nor another copy in flight.
     bool recordFailure(const Part &part, const Verdict &verdict);
     void failPart(Part &part, RequestActions &actions, Clock::time_point now);
-    bool canRetry(const Part &part, const Verdict &verdict) const;
+    bool canRetry(const Part &part, const Verdict &verdict, Clock::time_point now) const;
     void finishIfDecided(RequestActions &actions, Clock::time_point now);
     /// Returns whether a part is pending for which an answer is to wait.
     bool isWorthWaiting() const;
--- a/src/core/requestmachine.cpp
+++ b/src/core/requestmachine.cpp
@@ -58,8 +58,10 @@
     return actions;
 }
 
-bool RequestMachine::canRetry(const Part &part, const Verdict &verdict) const
+bool RequestMachine::canRetry(const Part &part, const Verdict &verdict, Clock::time_point now) const
 {
+    if (now >= m_terms.deadline)
+        return false;
     if (part.attempts >= m_terms.maxAttempts || part.refusals >= MaxRefusals)
         return false;
     return verdict.execution == Execution::NotRun || m_terms.isIdempotent;
@@ -91,7 +93,7 @@
     }
     if (!recordFailure(state, verdict))
         return actions;
-    if (verdict.reason != Reason::NoReplica && canRetry(state, verdict))
+    if (verdict.reason != Reason::NoReplica && canRetry(state, verdict, now))
         actions.emplace_back(send(part, SendCause::Retry, now));
     else
         failPart(state, actions, now);
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -405,6 +405,9 @@
     m_callers.stopAccepting();
     m_callers.closeIdle();
     const auto exchanges = m_exchanges;
+    // The response to one request makes room at its target, which no other may use any more.
+    for (const auto &[connection, exchange] : exchanges)
+        exchange->endSending(Reason::Draining);
     for (const auto &[connection, exchange] : exchanges)
         exchange->finishNow(Reason::Draining);
 }
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -283,8 +283,8 @@
         if (part.isWaiting)
             return m_machine->onHedgeDropped(action.part, now);
     }
-    if (m_callerLeftEnd)
-        return onUnsent(action, {Execution::NotRun, Reason::Cancelled}, now);
+    if (m_sendingEndedBy)
+        return onUnsent(action, {Execution::NotRun, *m_sendingEndedBy}, now);
     if (!part.hasFirstCopy)
         return callTarget(action, Payment::None, now);
     if (m_state.budgets.hasBudget(part.service, now))
@@ -315,8 +315,8 @@
     const bool isNeeded = !m_parts[action.part].isAnswered;
     if (action.cause == SendCause::Hedge && !isNeeded)
         perform(m_machine->onHedgeDropped(action.part, now));
-    else if (m_callerLeftEnd)
-        perform(onUnsent(action, {Execution::NotRun, Reason::Cancelled}, now));
+    else if (m_sendingEndedBy)
+        perform(onUnsent(action, {Execution::NotRun, *m_sendingEndedBy}, now));
     else if (isGranted)
         perform(callTarget(action, Payment::Pool, now));
     else
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -34,6 +34,9 @@
     /// Handles that the caller has closed its sending side or, more often, has left: nothing more
     /// is sent, and the caller gets what arrives within the grace period, or a final response.
     void onCallerFinished();
+    /// Sends nothing more to targets, and takes back what no target has got. The request may end
+    /// within, for the given reason.
+    void endSending(Reason reason);
     /// Sends the final response now: an answer without the parts that are missing if enough have
     /// arrived, otherwise a failure.
     void finishNow(Reason reason);
@@ -118,7 +121,7 @@
     /// Ends the calls in flight after a grace period, in which their responses are still received.
     void abandonCalls(Clock::duration gracePeriod);
     /// Takes back the parts that wait for a target.
-    void dropWaitingParts();
+    void dropWaitingParts(Reason reason);
     void finish(std::chrono::milliseconds gracePeriod);
     /// Handles the responses that have arrived and were not read yet because the thread was busy.
     /// To be called before a decision by the time; the request may finish within.
@@ -146,6 +149,8 @@
     /// The last response of a target that may be forwarded as it is.
     std::optional<HttpResponse> m_response;
     asio::basic_waitable_timer<Clock> m_timer;
+    /// Why nothing more is sent to targets; no value while requests may be sent.
+    std::optional<Reason> m_sendingEndedBy;
     /// When the request ends because its caller has probably left; no value before it has.
     std::optional<Clock::time_point> m_callerLeftEnd;
     /// The decisions other than first sends, bounded in size; logged when the request ends.
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -134,9 +134,7 @@
     addToTrace("caller_left", m_request.route->name, {},
                toString(ConnectionEnd::Cause::CallerClosed).data());
     m_callerLeftEnd = Clock::now() + DisconnectGracePeriod;
-    // Calls that wait for a connection end as not sent.
-    abandonCalls(DisconnectGracePeriod);
-    dropWaitingParts();
+    endSending(Reason::Cancelled);
     if (m_isFinished)
         return;
     const bool hasPending = std::any_of(m_parts.begin(), m_parts.end(), [](const Part &part) {
@@ -158,7 +156,17 @@
                     copy.call, std::chrono::duration_cast<milliseconds>(gracePeriod));
 }
 
-void RequestExchange::dropWaitingParts()
+void RequestExchange::endSending(Reason reason)
+{
+    if (m_isFinished)
+        return;
+    m_sendingEndedBy = reason;
+    // Calls that wait for a connection end as not sent.
+    abandonCalls(DisconnectGracePeriod);
+    dropWaitingParts(reason);
+}
+
+void RequestExchange::dropWaitingParts(Reason reason)
 {
     for (std::size_t i = 0; i < m_parts.size() && !m_isFinished; ++i) {
         Part &part = m_parts[i];
@@ -167,14 +175,13 @@
         const Clock::time_point now = Clock::now();
         m_state.directory.dropWaiting(part.service, m_forwarded);
         endWait(part, "dropped", now);
-        perform(m_machine->onUnsent(i, {Execution::NotRun, Reason::Cancelled}, now));
+        perform(m_machine->onUnsent(i, {Execution::NotRun, reason}, now));
     }
 }
 
 void RequestExchange::finishNow(Reason reason)
 {
-    if (m_isFinished)
-        return;
+    endSending(reason);
     readArrived();
     if (m_isFinished)
         return;
--- a/test/unit/entryfixture.h
+++ b/test/unit/entryfixture.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -209,6 +210,18 @@
         m_waker.async_wait([during = std::move(during)](const asio::error_code &) { during(); });
     }
 
+    /// Ends all requests as a stop of the entry duty does, in the order of their ids.
+    void endRequests()
+    {
+        std::map<std::string, std::shared_ptr<RequestExchange>> exchanges;
+        for (const auto &[connection, exchange] : m_exchanges)
+            exchanges.emplace(exchange->request().id, exchange);
+        for (const auto &[id, exchange] : exchanges)
+            exchange->endSending(Reason::Draining);
+        for (const auto &[id, exchange] : exchanges)
+            exchange->finishNow(Reason::Draining);
+    }
+
     EntryState &state() { return m_state; }
     RequestExchange &exchange() { return *m_exchanges.begin()->second; }
     std::size_t requestsInFlight() const { return m_exchanges.size(); }
