Keep probing in the test of a refusal until the refusal was seen

Cause: "A request is refused at once while each target fails and is being probed" sent three rounds of orders at once, which make both targets fail and then probe them, while it waited up to 30 s for a request that is refused at once. The state that it waits for ends with the rounds. In the log lines of six runs the refusal comes 3.9 s after the first attempt (attempt 11 in each), and the rounds end after 6.0 s. A test whose attempts come later waits for a state that cannot come again: one request at a time probes one target.

That the failure seen once on a busy machine was late in this way is not shown; its log was not kept.

Ruled out in these runs: a refusal for another reason, or a log line left out.

Change: the rounds are repeated, with a pause that keeps the VM within its limit of log lines, until the refusal was seen. What is checked is the same.

--- a/test/system/entry_test.cpp
+++ b/test/system/entry_test.cpp
@@ -30,6 +30,7 @@
 /// How long a test that repeats requests waits for the log line of one of them.
 constexpr std::chrono::seconds LogLineTimeout{3};
 constexpr std::chrono::milliseconds MinProbePause{100};
+constexpr std::chrono::milliseconds ProbeRoundPause{200};
 
 /// Returns how long a request took by the log line of its end.
 int millisecondsTaken(const std::string &line)
@@ -615,8 +616,11 @@
     for (const std::string target : {"i-oa", "i-ob"})
         system.setTargetMode(target, "mute");
     // Two unanswered requests in a row make a target fail, and those in flight probe both of them.
-    const auto probes = std::async(std::launch::async, [&system] {
-        for (int i = 0; i < 3; ++i)
+    // The pause between them leaves the VM's log within its limit.
+    std::future<void> probes;
+    std::promise<void> done;
+    probes = std::async(std::launch::async, [&system, isDone = done.get_future()] {
+        for (int i = 0; isDone.wait_for(ProbeRoundPause) == std::future_status::timeout; ++i)
             system.sendOrdersAtOnce(8, "probe-" + std::to_string(i) + "-");
     });
     int attempts = 0;
@@ -626,6 +630,7 @@
         return response && response->status == 503 && system.targetsThatRan(id).empty()
             && contains(system.waitForLogLine(id, LogLineTimeout), ":not_sent:orders:failing");
     }));
+    done.set_value();
     probes.wait();
 
     SECTION("and served again when they respond")
