--- a/test/system/callers.h
+++ b/test/system/callers.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,8 +21,11 @@
     {
         for (const std::string &vm : deployment.vmNames())
             m_threads.emplace_back([this, &deployment, vm, service] {
-                while (!m_isStopping)
-                    check(deployment.query(vm, service));
+                while (!m_isStopping) {
+                    const auto sentAt = std::chrono::steady_clock::now();
+                    const Deployment::Response response = deployment.query(vm, service);
+                    check(vm, response, std::chrono::steady_clock::now() - sentAt);
+                }
             });
     }
     ~Callers() { stop(); }
@@ -37,18 +42,32 @@
     std::size_t answerCount() const { return m_answerCount; }
     /// Returns how many of them did not get a complete answer.
     std::size_t incompleteCount() const { return m_incompleteCount; }
+    /// Returns the responses to the first of these, and how long they took. Must be called after
+    /// `stop`.
+    const std::string &firstIncomplete() const { return m_firstIncomplete; }
     std::size_t inconsistentCount() const { return m_inconsistentCount; }
 
 private:
-    void check(const Deployment::Response &response)
+    void check(const std::string &vm, const Deployment::Response &response,
+               std::chrono::steady_clock::duration took)
     {
         ++m_answerCount;
-        if (response.status != 200 || !isComplete(response.body))
+        if (response.status != 200 || !isComplete(response.body)) {
             ++m_incompleteCount;
+            const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
+            const std::lock_guard lock(m_firstIncompleteMutex);
+            if (m_firstIncomplete.size() < MaxIncompleteBytes)
+                m_firstIncomplete += vm + " took_ms=" + std::to_string(ms)
+                    + " status=" + std::to_string(response.status) + " " + response.body + "\n";
+        }
         if (response.status == 200 && !findInconsistency(response.body).empty())
             ++m_inconsistentCount;
     }
 
+    static constexpr std::size_t MaxIncompleteBytes = 10'000;
+
+    std::mutex m_firstIncompleteMutex;
+    std::string m_firstIncomplete;
     std::atomic<bool> m_isStopping{false};
     std::atomic<std::size_t> m_answerCount{0};
     std::atomic<std::size_t> m_incompleteCount{0};
--- a/test/system/snapshots_test.cpp
+++ b/test/system/snapshots_test.cpp
@@ -53,7 +53,7 @@
             }
         }
         callers.stop();
-        INFO(callers.answerCount() << " answers");
+        INFO(callers.answerCount() << " answers; incomplete: " << callers.firstIncomplete());
         CHECK(callers.inconsistentCount() == 0);
         CHECK(callers.incompleteCount() == 0);
     }
--- a/test/system/stop_test.cpp
+++ b/test/system/stop_test.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <iostream>
 #include <random>
+#include <sstream>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -13,6 +14,7 @@
 
 using namespace mangoshift::testing;
 using Json = nlohmann::json;
+using Steady = std::chrono::steady_clock;
 
 namespace {
 
@@ -69,6 +71,10 @@
     /// Requests on an established connection that got no response.
     std::atomic<std::uint64_t> cutOff{0};
 
+    /// Returns a line for each of them: the VM, whether the caller kept its connection, how long it
+    /// had not used it, how long it waited, and the error. Must be called after `finish`.
+    const std::string &cutOffRequests() const { return m_cutOffRequests; }
+
     /// Returns how many shards were missing, by reason. Must be called after `finish`.
     const std::map<std::string, std::uint64_t> &missingByReason() const
     {
@@ -96,12 +102,14 @@
             clients.push_back(std::make_unique<httplib::Client>(address->ip, address->port));
             clients.back()->set_keep_alive(keepsConnections);
         }
+        std::vector<Steady::time_point> lastUse(m_vms.size(), Steady::now());
         while (!m_isEnding) {
             const std::size_t vm = random() % m_vms.size();
             if (m_readiness == Readiness::Followed && !m_isReady[vm]) {
                 clients[vm]->stop();
                 continue;
             }
+            const Steady::time_point sentAt = Steady::now();
             const auto result =
                 clients[vm]->Post("/v1/query/pass-lookup", "{}", "application/json");
             if (result)
@@ -109,10 +117,28 @@
             else if (result.error() == httplib::Error::Connection)
                 ++notConnected;
             else
-                ++cutOff;
+                countCutOff(m_vms[vm], keepsConnections, sentAt - lastUse[vm],
+                            Steady::now() - sentAt, result.error());
+            lastUse[vm] = Steady::now();
         }
     }
 
+    void countCutOff(const std::string &vm, bool keepsConnections, Steady::duration unusedFor,
+                     Steady::duration waited, httplib::Error error)
+    {
+        const auto inMilliseconds = [](Steady::duration duration) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+        };
+        ++cutOff;
+        std::ostringstream line;
+        line << "vm=" << vm << " kept=" << keepsConnections
+             << " unused_ms=" << inMilliseconds(unusedFor)
+             << " waited_ms=" << inMilliseconds(waited) << " error=" << httplib::to_string(error)
+             << "\n";
+        const std::lock_guard lock(m_cutOffMutex);
+        m_cutOffRequests += line.str();
+    }
+
     void count(int status, const Json &answer)
     {
         if (status == 200 && answer["complete"] == true) {
@@ -131,6 +157,8 @@
         }
     }
 
+    std::mutex m_cutOffMutex;
+    std::string m_cutOffRequests;
     std::mutex m_reasonsMutex;
     std::map<std::string, std::uint64_t> m_missingByReason;
     Deployment &m_deployment;
@@ -177,7 +205,8 @@
               << " lost_shards=" << load.lostShards << " refused_unrun=" << load.refusedNotRun
               << " other_errors=" << load.otherErrors << " not_connected=" << load.notConnected
               << " cut_off=" << load.cutOff << " missing=" << Json(load.missingByReason())
-              << std::endl;
+              << std::endl
+              << load.cutOffRequests();
 }
 
 } // namespace
