Do not use a loan that was requested while the limit was higher

Cause: loans in use are scaled when a limit is lowered, but one that was requested before and arrives after it was used at the old rate for the rest of its second.

The new section of unittests "A limit pool" grants 5 permits without the check, and none with it.

--- a/include/mangoshift/limitpool.h
+++ b/include/mangoshift/limitpool.h
@@ -161,6 +161,9 @@
         /// When the last permit became or becomes valid, or a time before which no permit may be
         /// granted ahead of its time.
         Clock::time_point lastPermitAt{};
+        /// When the limit was last named anew or lowered. A loan that was requested before was a
+        /// part of a higher limit.
+        Clock::time_point loweredAt{};
         /// Loans from other domains, with a positive rate, and to them, with a negative one.
         std::vector<RateChange> loans;
         Clock::time_point updatedAt{};
--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -134,6 +134,8 @@
         if (account.limit && heard.limit && *heard.limit < *account.limit)
             for (RateChange &loan : account.loans)
                 loan.rate *= *heard.limit / *account.limit;
+        if (heard.limit && (!account.limit || *heard.limit < *account.limit))
+            account.loweredAt = now;
         account.limit = heard.limit;
         account.heardAt = heardAt;
         account.permits = std::min(account.permits, capacity(account));
@@ -287,8 +289,8 @@
 void LimitPool::onLoan(const LimitLoan &loan, Clock::time_point requestedAt, Clock::time_point now)
 {
     const auto found = m_accounts.find(loan.target);
-    if (!m_isOwner || found == m_accounts.end() || loan.rate <= 0.0
-        || requestedAt + LoanTime <= now)
+    if (!m_isOwner || found == m_accounts.end() || loan.rate <= 0.0 || requestedAt + LoanTime <= now
+        || requestedAt < found->second.loweredAt)
         return;
     accrue(found->second, now);
     found->second.loans.push_back({loan.rate, requestedAt + LoanTime});
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -187,6 +187,20 @@
         CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 7s) == 0);
         CHECK(countGranted(pool, askFor({limitOf(1, 0.0)}), 50, Ready + 8s) == 1);
     }
+    SECTION("does not use a loan that was requested while the limit was higher")
+    {
+        pool.setIsOwner(true, Start);
+        LimitPool other(3);
+        other.setIsOwner(true, Start);
+        const auto ask = askFor({limitOf(1, 30.0)});
+        countGranted(pool, ask, 2, Ready);
+        const auto loans = other.lend(pool.wantedLoans(Ready), Ready);
+        REQUIRE(loans.size() == 1);
+        const auto lower = askFor({limitOf(1, 0.0)});
+        countGranted(pool, lower, 1, Ready + 50ms);
+        pool.onLoan(loans.front(), Ready, Ready + 100ms);
+        CHECK(countGranted(pool, lower, 5, Ready + 900ms) == 0);
+    }
     SECTION("lends another domain what its own has no use for")
     {
         LimitPool other(2);
