Grant no permits in advance while a limit is in doubt

Change: asks in advance have a priority of their own (`SparePriority`, the value that they had before), and a pool grants them nothing for a limit that no VM of the domain has heard for 2 s. Requests ask for themselves then, and use the permit at once.

--- a/include/mangoshift/limitpool.h
+++ b/include/mangoshift/limitpool.h
@@ -30,6 +30,9 @@
     bool operator==(const HeardLimit &) const = default;
 };
 
+/// The priority of asks for permits that no request depends on. Those of requests are less.
+constexpr std::uint32_t SparePriority = 255;
+
 /// Asks for permits to send the parts of one request to limited targets.
 struct PermitAsk
 {
@@ -186,6 +189,9 @@
     /// else and had `further` permits to grant first.
     std::chrono::milliseconds wait(const Account &account, std::uint32_t priority,
                                    double further) const;
+    /// Returns whether an account grants permits to asks of a priority. A limit in doubt is asked
+    /// about by requests, which use the permit at once; what is granted in advance may expire.
+    static bool isOpenTo(const Account &account, std::uint32_t priority);
     /// Returns the first permit that the targets of a part can be sent.
     Permit firstPermit(const std::vector<HeardLimit> &part, std::uint32_t priority) const;
     /// Returns when the part would be granted a permit if all that were denied got one first.
--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -6,6 +6,8 @@
 
 #include <xxhash.h>
 
+#include "mangoshift/limitshare.h"
+
 namespace mangoshift {
 
 namespace {
@@ -159,12 +161,20 @@
     return std::chrono::ceil<milliseconds>(std::min<Seconds>(wait, MaxWait));
 }
 
+bool LimitPool::isOpenTo(const Account &account, std::uint32_t priority)
+{
+    return priority < SparePriority || !account.limit
+        || account.updatedAt - account.heardAt < LimitShare::DoubtTime;
+}
+
 Permit LimitPool::firstPermit(const std::vector<HeardLimit> &part, std::uint32_t priority) const
 {
     Permit first{0, MaxWait};
     double most = 0.0;
     for (const HeardLimit &heard : part) {
         const Account &account = m_accounts.at(heard.target);
+        if (!isOpenTo(account, priority))
+            continue;
         const milliseconds validIn = wait(account, priority, 0.0);
         if (first.target != 0
             && std::pair(validIn, -account.permits) >= std::pair(first.validIn, -most))
--- a/src/entry/targetdirectory_limits.cpp
+++ b/src/entry/targetdirectory_limits.cpp
@@ -22,9 +22,6 @@
 constexpr Clock::duration MaxPermitWait = std::chrono::hours(1);
 constexpr milliseconds MetricsInterval{1000};
 
-/// The rank of requests for permits that no request depends on.
-constexpr std::uint32_t LowestRank = 255;
-
 /// Returns whether a target has named no limit.
 bool hasUnlimited(const std::vector<TargetHandlePtr> &handles)
 {
@@ -244,7 +241,7 @@
                                           Clock::time_point now)
 {
     m_permits.request(
-        {LowestRank, 0, 0, milliseconds(0), std::move(parts)},
+        {SparePriority, 0, 0, milliseconds(0), std::move(parts)},
         [this](const PermitOutcome &outcome) {
             const Clock::time_point grantedAt = Clock::now();
             for (const Permit &permit : outcome.permits)
@@ -280,7 +277,7 @@
 {
     // Any one of the targets will do; the others are asked for by the requests after this one.
     m_permits.request(
-        {priority, 0, 0, milliseconds(0), {limitedPart(targets, now)}},
+        {std::min(priority, SparePriority - 1), 0, 0, milliseconds(0), {limitedPart(targets, now)}},
         [this, service, request](const PermitOutcome &outcome) {
             const Clock::time_point grantedAt = Clock::now();
             for (const Permit &permit : outcome.permits)
--- a/test/unit/limitfleet_test.cpp
+++ b/test/unit/limitfleet_test.cpp
@@ -237,15 +237,15 @@
         return {1, vm.limit.value(),
                 std::chrono::duration_cast<milliseconds>(m_now - vm.limit.heardAt())};
     }
-    /// Asks a pool for a permit that no request depends on.
-    void ask(std::size_t vm)
+    /// Asks a pool for a permit.
+    void ask(std::size_t vm, std::uint32_t priority = SparePriority)
     {
         const VmId owner = m_vms[vm].route.ownerToAsk(m_now);
         const std::size_t domain = std::stoul(owner);
         const bool isCut = domain != domainOf(vm) && (m_isCut[domain] || m_isCut[domainOf(vm)]);
         if (isCut || draw() < m_lossChance)
             return;
-        const PermitAsk ask{255, 0, 0, 0ms, {{heard(m_vms[vm])}}};
+        const PermitAsk ask{priority, 0, 0, 0ms, {{heard(m_vms[vm])}}};
         LimitPool &pool = owner.back() == RivalMark ? m_rivals[domain] : m_pools[domain];
         at(m_now + delay(), [this, vm, ask, &pool] {
             const auto outcome = pool.grant(ask, m_now);
@@ -300,7 +300,7 @@
             choose(index);
             return;
         }
-        ask(index);
+        ask(index, 0);
         at(m_now + 10ms, [this, index] { choose(index); });
     }
     void choose(std::size_t index)
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include "mangoshift/limitpool.h"
+#include "mangoshift/limitshare.h"
 #include "mangoshift/targetlimit.h"
 
 using namespace mangoshift;
@@ -201,6 +202,18 @@
         pool.onLoan(loans.front(), Ready, Ready + 100ms);
         CHECK(countGranted(pool, lower, 5, Ready + 900ms) == 0);
     }
+    SECTION("grants permits in advance only while the limit is in no doubt")
+    {
+        pool.setIsOwner(true, Start);
+        const auto grantAfter = [&pool](std::chrono::milliseconds age, std::uint32_t priority) {
+            const PermitAsk ask{priority, 0, 0, 0ms, {{limitOf(1, 2.0, age)}}};
+            return pool.grant(ask, Ready + age).permits.size();
+        };
+        grantAfter(0ms, SparePriority);
+        CHECK(grantAfter(LimitShare::DoubtTime - 1ms, SparePriority) == 1);
+        CHECK(grantAfter(LimitShare::DoubtTime + 2s, SparePriority) == 0);
+        CHECK(grantAfter(LimitShare::DoubtTime + 2s, 0) == 1);
+    }
     SECTION("lends another domain what its own has no use for")
     {
         LimitPool other(2);
