--- a/include/mangoshift/limitpool.h
+++ b/include/mangoshift/limitpool.h
@@ -30,6 +30,9 @@
     bool operator==(const HeardLimit &) const = default;
 };
 
+/// The priority of asks for permits that no request depends on. Those of requests are less.
+constexpr std::uint32_t SparePriority = 255;
+
 /// Asks for permits to send the parts of one request to limited targets.
 struct PermitAsk
 {
@@ -161,6 +164,9 @@
         /// When the last permit became or becomes valid, or a time before which no permit may be
         /// granted ahead of its time.
         Clock::time_point lastPermitAt{};
+        /// When the limit was last named anew or lowered. A loan that was requested before was a
+        /// part of a higher limit.
+        Clock::time_point loweredAt{};
         /// Loans from other domains, with a positive rate, and to them, with a negative one.
         std::vector<RateChange> loans;
         Clock::time_point updatedAt{};
@@ -183,6 +189,9 @@
     /// else and had `further` permits to grant first.
     std::chrono::milliseconds wait(const Account &account, std::uint32_t priority,
                                    double further) const;
+    /// Returns whether an account grants permits to asks of a priority. A limit in doubt is asked
+    /// about by requests, which use the permit at once; what is granted in advance may expire.
+    static bool isOpenTo(const Account &account, std::uint32_t priority);
     /// Returns the first permit that the targets of a part can be sent.
     Permit firstPermit(const std::vector<HeardLimit> &part, std::uint32_t priority) const;
     /// Returns when the part would be granted a permit if all that were denied got one first.
--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -6,6 +6,8 @@
 
 #include <xxhash.h>
 
+#include "mangoshift/limitshare.h"
+
 namespace mangoshift {
 
 namespace {
@@ -138,6 +140,8 @@
                 account.permits *=
                     std::max(*heard.limit, MinLimit) / std::max(*account.limit, MinLimit);
         }
+        if (heard.limit && (!account.limit || *heard.limit < *account.limit))
+            account.loweredAt = now;
         account.limit = heard.limit;
         account.heardAt = heardAt;
         account.permits = std::min(account.permits, capacity(account));
@@ -161,12 +165,20 @@
     return std::chrono::ceil<milliseconds>(std::min<Seconds>(wait, MaxWait));
 }
 
+bool LimitPool::isOpenTo(const Account &account, std::uint32_t priority)
+{
+    return priority < SparePriority || !account.limit
+        || account.updatedAt - account.heardAt < LimitShare::DoubtTime;
+}
+
 Permit LimitPool::firstPermit(const std::vector<HeardLimit> &part, std::uint32_t priority) const
 {
     Permit first{0, MaxWait};
     double most = 0.0;
     for (const HeardLimit &heard : part) {
         const Account &account = m_accounts.at(heard.target);
+        if (!isOpenTo(account, priority))
+            continue;
         const milliseconds validIn = wait(account, priority, 0.0);
         if (first.target != 0
             && std::pair(validIn, -account.permits) >= std::pair(first.validIn, -most))
@@ -291,8 +303,8 @@
 void LimitPool::onLoan(const LimitLoan &loan, Clock::time_point requestedAt, Clock::time_point now)
 {
     const auto found = m_accounts.find(loan.target);
-    if (!m_isOwner || found == m_accounts.end() || loan.rate <= 0.0
-        || requestedAt + LoanTime <= now)
+    if (!m_isOwner || found == m_accounts.end() || loan.rate <= 0.0 || requestedAt + LoanTime <= now
+        || requestedAt < found->second.loweredAt)
         return;
     accrue(found->second, now);
     found->second.loans.push_back({loan.rate, requestedAt + LoanTime});
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include "mangoshift/limitpool.h"
+#include "mangoshift/limitshare.h"
 #include "mangoshift/targetlimit.h"
 
 using namespace mangoshift;
@@ -204,6 +205,32 @@
             CHECK(countGranted(pool, ask, 50, loweredAt) == 0);
         }
     }
+    SECTION("does not use a loan that was requested while the limit was higher")
+    {
+        pool.setIsOwner(true, Start);
+        LimitPool other(3);
+        other.setIsOwner(true, Start);
+        const auto ask = askFor({limitOf(1, 30.0)});
+        countGranted(pool, ask, 2, Ready);
+        const auto loans = other.lend(pool.wantedLoans(Ready), Ready);
+        REQUIRE(loans.size() == 1);
+        const auto lower = askFor({limitOf(1, 0.0)});
+        countGranted(pool, lower, 1, Ready + 50ms);
+        pool.onLoan(loans.front(), Ready, Ready + 100ms);
+        CHECK(countGranted(pool, lower, 5, Ready + 900ms) == 0);
+    }
+    SECTION("grants permits in advance only while the limit is in no doubt")
+    {
+        pool.setIsOwner(true, Start);
+        const auto grantAfter = [&pool](std::chrono::milliseconds age, std::uint32_t priority) {
+            const PermitAsk ask{priority, 0, 0, 0ms, {{limitOf(1, 2.0, age)}}};
+            return pool.grant(ask, Ready + age).permits.size();
+        };
+        grantAfter(0ms, SparePriority);
+        CHECK(grantAfter(LimitShare::DoubtTime - 1ms, SparePriority) == 1);
+        CHECK(grantAfter(LimitShare::DoubtTime + 2s, SparePriority) == 0);
+        CHECK(grantAfter(LimitShare::DoubtTime + 2s, 0) == 1);
+    }
     SECTION("lends another domain what its own has no use for")
     {
         LimitPool other(2);
