--- a/bench/targetnotices.py
+++ b/bench/targetnotices.py
@@ -48,9 +48,10 @@
 
 
 class Deployment:
-    """A store, targets of one service, and entry VMs."""
+    """A store, targets of one service, and entry VMs. `route` replaces fields of the only route."""
 
-    def __init__(self, build, entries, net, targets, options, vm_settings=None):
+    def __init__(self, build, entries, net, targets, options, vm_settings=None, slots=3,
+                 route=None):
         self.build, self.net, self.processes = pathlib.Path(build).resolve(), net, []
         self.folder = tempfile.TemporaryDirectory()
         self.targets = [f"i-{each}" for each in range(targets)]
@@ -63,13 +64,13 @@
         for number, each in enumerate(self.targets):
             self.retry(lambda: self.put(f"servers/{each}", {
                 "service": "s", "address": self.at(1, number + 1, TARGET_PORT), "zone": "d0",
-                "version": "v1", "slots": 3, "state": "ready", "warmup_left_ms": 0, "seq": 1,
+                "version": "v1", "slots": slots, "state": "ready", "warmup_left_ms": 0, "seq": 1,
                 "born": 1}))
         self.put("op/config", {
             "version": 1, "services": [{"name": "s", "max_conns": 1000}],
             "routes": [{"name": "r", "host": "shop.example", "prefix": "/r/", "kind": "safe",
                         "timeout_ms": 1000, "target_latency_ms": 300, "priority": 1,
-                        "max_attempts": 2, "service": "s"}],
+                        "max_attempts": 2, "service": "s", **(route or {})}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 20000}})
         self.vms = [self.start_vm(number, entry, (vm_settings or {}).get(number, {}))
