Let the sequences of limits hold requests that arrive for long

In the 2,000 seeded sequences of `unittests "Whatever limits come in force*"` a connection left the state Receiving in the step in which it entered it, so no limit ever came in force while a request arrived. It now stays there for up to many steps, its headers become complete or not, and what is due and the sizes that apply are compared with a model in each step. The checks of idle connections are as before, and each kind of end must occur.

No fault was found.

--- a/test/unit/callertimeouts_test.cpp
+++ b/test/unit/callertimeouts_test.cpp
@@ -98,6 +98,9 @@
 
 TEST_CASE("Whatever limits come in force, a connection is closed neither too early nor never")
 {
+    int idleCloses = 0;
+    int headRejections = 0;
+    int bodyRejections = 0;
     for (unsigned seed = 1; seed <= Sequences; ++seed) {
         INFO("seed " << seed);
         std::mt19937 random(seed);
@@ -112,26 +115,55 @@
         PausedClock clock;
         CallerLimits inForce = drawLimits();
         CallerTimeouts timeouts(inForce, Clock::now());
-        Clock::time_point idleSince = Clock::now();
-        auto longestIdle = inForce.idleTimeout;
+        Clock::time_point phaseSince = Clock::now();
+        bool isReceiving = false;
+        bool hasHeaders = false;
+        // The longest times and the greatest size that were in force within the phase.
+        CallerLimits widest = inForce;
         for (int step = 0; step < StepsOfSequence; ++step) {
             clock.advance(std::chrono::milliseconds(draw(0, 3000)));
             const Clock::time_point now = Clock::now();
             if (draw(0, 3) == 0) {
                 inForce = drawLimits();
                 timeouts.setLimits(inForce);
-                longestIdle = std::max(longestIdle, inForce.idleTimeout);
+                widest.idleTimeout = std::max(widest.idleTimeout, inForce.idleTimeout);
+                // Before a request begins, nothing counts on its limits.
+                widest.headerTimeout = isReceiving
+                    ? std::max(widest.headerTimeout, inForce.headerTimeout)
+                    : inForce.headerTimeout;
+                widest.bodyBytes =
+                    isReceiving ? std::max(widest.bodyBytes, inForce.bodyBytes) : inForce.bodyBytes;
             }
-            if (draw(0, 9) == 0) {
+            if (!isReceiving && draw(0, 9) == 0) {
                 timeouts.enter(CallerPhase::Receiving, now);
+                isReceiving = true;
+                hasHeaders = false;
+                phaseSince = now;
+            } else if (isReceiving && !hasHeaders && draw(0, 4) == 0) {
+                timeouts.onHeaders();
+                hasHeaders = true;
+            } else if (isReceiving && draw(0, 9) == 0) {
                 timeouts.enter(CallerPhase::Working, now);
                 timeouts.enter(CallerPhase::Idle, now);
-                idleSince = now;
-                longestIdle = inForce.idleTimeout;
+                isReceiving = false;
+                phaseSince = now;
+                widest = inForce;
             }
-            const bool isClosed = timeouts.check(now) == Due::CloseIdle;
-            REQUIRE(isClosed == (now - idleSince >= longestIdle + 1s));
-            REQUIRE(timeouts.limits().bodyBytes == inForce.bodyBytes);
+            const Clock::duration age = now - phaseSince;
+            Due expected = Due::Nothing;
+            if (!isReceiving && age >= widest.idleTimeout + 1s)
+                expected = Due::CloseIdle;
+            else if (isReceiving
+                     && age >= (hasHeaders ? Clock::duration(10s) : widest.headerTimeout))
+                expected = Due::RejectOverdue;
+            REQUIRE(timeouts.check(now) == expected);
+            REQUIRE(timeouts.limits().bodyBytes == widest.bodyBytes);
+            idleCloses += expected == Due::CloseIdle ? 1 : 0;
+            headRejections += expected == Due::RejectOverdue && !hasHeaders ? 1 : 0;
+            bodyRejections += expected == Due::RejectOverdue && hasHeaders ? 1 : 0;
         }
     }
+    CHECK(idleCloses > 0);
+    CHECK(headRejections > 0);
+    CHECK(bodyRejections > 0);
 }
