Wait before a connection is accepted again that could not be taken

Without a free file descriptor, a connection that callers or other VMs have made can't be taken and stays ready. The listeners of callers and of other VMs tried again at once: the thread was kept busy, and the first logged each attempt.

The listener for other VMs had the same loop; that was read, not run.

`AcceptLoop` is the loop of both listeners.

The servers of operators and of the `serve` path are the library's own, and not changed.

--- a/src/duties/peerduty.cpp
+++ b/src/duties/peerduty.cpp
@@ -54,6 +54,7 @@
     , m_duty("peers", RingCapacity)
     , m_acceptor(m_duty.io(),
                  tcp::endpoint(asio::ip::make_address(listenAddress.ip), listenAddress.port))
+    , m_acceptLoop(m_acceptor, [this](tcp::socket socket) { adopt(std::move(socket)); })
     , m_linkCheckTimer(m_duty.io())
 {
 }
@@ -65,7 +66,7 @@
 
 void PeerDuty::start()
 {
-    accept();
+    m_acceptLoop.start();
     m_linksCheckedAt = Clock::now();
     checkLinks();
     m_duty.start([this](PeerMessage &message) { handle(message); });
@@ -87,17 +88,11 @@
                message);
 }
 
-void PeerDuty::accept()
+void PeerDuty::adopt(tcp::socket socket)
 {
-    m_acceptor.async_accept([this](asio::error_code error, tcp::socket socket) {
-        if (!error) {
-            const auto link = std::make_shared<PeerLink>(*this, ++m_lastLink, std::move(socket));
-            m_links.emplace(link->id(), link);
-            link->startReading();
-        }
-        if (error != asio::error::operation_aborted)
-            accept();
-    });
+    const auto link = std::make_shared<PeerLink>(*this, ++m_lastLink, std::move(socket));
+    m_links.emplace(link->id(), link);
+    link->startReading();
 }
 
 void PeerDuty::sendToVm(SendToVm &message)
@@ -253,6 +248,7 @@
                          {"dialled", link->isDialled()},
                          {"queued_bytes", link->queuedBytes()}});
     return nlohmann::json{{"links", std::move(links)},
+                          {"accept_failures", m_acceptLoop.failures()},
                           {"ring", m_duty.ringSize()},
                           {"ring_rejected", m_duty.rejected()}}
         .dump();
--- a/src/duties/peerduty.h
+++ b/src/duties/peerduty.h
@@ -15,6 +15,7 @@
 #include "base/duty.h"
 #include "duties/messages.h"
 #include "mangoshift/transitdelay.h"
+#include "net/acceptloop.h"
 
 namespace mangoshift {
 
@@ -61,7 +62,7 @@
     friend class PeerLink;
 
     void handle(PeerMessage &message);
-    void accept();
+    void adopt(asio::ip::tcp::socket socket);
     void sendToVm(SendToVm &message);
     void sendOnLink(SendOnLink &message);
     std::shared_ptr<PeerLink> dial(const VmId &vm);
@@ -82,6 +83,7 @@
     PeerSinks m_sinks;
     Duty<PeerMessage> m_duty;
     asio::ip::tcp::acceptor m_acceptor;
+    AcceptLoop m_acceptLoop;
     asio::basic_waitable_timer<Clock> m_linkCheckTimer;
     Clock::time_point m_linksCheckedAt;
     MemberViewPtr m_members;
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -403,6 +403,7 @@
     state["cut_off"] = m_state.reachMonitor.isCutOff();
     state["config_version"] = m_routing ? m_routing->version() : 0;
     state["caller_connections"] = m_callers.connections();
+    state["accept_failures"] = m_callers.acceptFailures();
     state["requests_under_way"] = m_exchanges.size();
     state["fleet_size"] = m_state.budgets.fleetSize();
     state["target_connections"] = m_state.directory.openConnections();
--- a/src/http/callerlistener.cpp
+++ b/src/http/callerlistener.cpp
@@ -20,6 +20,7 @@
 CallerListener::CallerListener(asio::io_context &io, std::size_t maxConnections,
                                CallerEvents events)
     : m_acceptor(io)
+    , m_acceptLoop(m_acceptor, [this](tcp::socket socket) { adopt(std::move(socket)); })
     , m_maxConnections(maxConnections)
     , m_events(std::move(events))
 {
@@ -50,24 +51,10 @@
     m_acceptor.listen(Backlog, error);
     if (error)
         return false;
-    accept();
+    m_acceptLoop.start();
     return true;
 }
 
-void CallerListener::accept()
-{
-    m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-            return;
-        if (error)
-            logEvent(LogLevel::Warning, "accept_failed", {{"why", error.message()}});
-        else
-            adopt(std::move(socket));
-        if (m_acceptor.is_open())
-            accept();
-    });
-}
-
 void CallerListener::adopt(tcp::socket socket)
 {
     if (m_connections.size() >= m_maxConnections) {
--- a/src/http/callerlistener.h
+++ b/src/http/callerlistener.h
@@ -8,6 +8,7 @@
 
 #include "base/address.h"
 #include "http/callerconnection.h"
+#include "net/acceptloop.h"
 
 namespace mangoshift {
 
@@ -35,12 +36,14 @@
     void closeIdle();
 
     std::size_t connections() const { return m_connections.size(); }
+    /// Returns how often a connection could not be taken.
+    std::uint64_t acceptFailures() const { return m_acceptLoop.failures(); }
 
 private:
-    void accept();
     void adopt(asio::ip::tcp::socket socket);
 
     asio::ip::tcp::acceptor m_acceptor;
+    AcceptLoop m_acceptLoop;
     std::size_t m_maxConnections;
     CallerEvents m_events;
     CallerLimits m_limits;
