Do not count calls that wait only to probe a limit as turns

What callers see: while the limit of one target is in doubt beside targets without a limit, requests of a burst are refused as `overloaded` with a Retry-After of several seconds, although they would get their turns in time. While a call waits to probe, a query can be refused with `queue_too_long` although all targets are idle. And such a call is ended up to 100 ms after its time is up.

Cause: a call that waits 10 ms for the permit of a probe was put among the calls that wait for a free slot, and counted as a turn when it was sent. So the time between two probes, 0.5 s or more, became the time between two turns. It also counted as a call ahead of others, and the timer that ends late calls was not armed for it.

Ruled out: `RateLifetime`, which forgets an old rate only when a first call is queued; these calls were never queued, and a call that came while one of them waited was not the first.

Change: `WaitingTerms::takesTurn` tells whether a call takes a turn. One that does not keeps its place in the order, but is neither refused for want of a turn nor counted: in the rate, ahead of other calls, in `expectedWait` and in the Retry-After of a refusal. If it finds no free slot when its probe is over, it is queued then, and takes a turn. The timer for late calls is armed for it.

The new test in waitingturns_test fails in all of its three sections when it is built with the new member and the old waitingturns.cpp.

--- a/include/mangoshift/waitingturns.h
+++ b/include/mangoshift/waitingturns.h
@@ -19,6 +19,9 @@
     Clock::time_point deadline;
     /// The usual latency of the target's response; zero if it is not known.
     Clock::duration expectedLatency{};
+    /// Whether the call takes a turn. One that waits for a permit only, while targets have free
+    /// slots, does not.
+    bool takesTurn = true;
 
     /// Returns the latest time at which the call may be sent, so that it can end by its deadline.
     Clock::time_point latestStart() const;
@@ -59,7 +62,7 @@
 
     Plan plan(std::span<const WaitingTerms> calls, Clock::time_point now) const;
 
-    /// Handles that a call starts to wait. `isFirst` tells that no other call waits.
+    /// Handles that a call starts to wait for its turn. `isFirst` tells that no other call does.
     void onQueued(bool isFirst, Clock::time_point now);
     /// Handles that a call that waited is sent.
     void onSent(const WaitingTerms &call, Clock::time_point now);
--- a/src/core/waitingturns.cpp
+++ b/src/core/waitingturns.cpp
@@ -56,18 +56,24 @@
         return calls[a].latestStart() < calls[b].latestStart();
     });
     std::uint32_t turnsSinceLate = m_turnsSinceLate;
+    std::size_t turnsAhead = 0;
     auto nextInTime = inTime.begin();
     auto nextLate = late.begin();
     while (nextInTime != inTime.end() || nextLate != late.end()) {
         const bool isLateTurn = nextLate != late.end()
             && (nextInTime == inTime.end() || turnsSinceLate + 1 >= LateTurnInterval);
         const std::size_t call = isLateTurn ? *nextLate++ : *nextInTime++;
-        const auto wait = timeForTurns(plan.turns.size());
+        if (!calls[call].takesTurn) {
+            plan.turns.push_back(call);
+            continue;
+        }
+        const auto wait = timeForTurns(turnsAhead);
         if (wait && now + *wait > calls[call].latestStart()) {
             plan.refused.push_back({call, Refusal::NoTurn});
             continue;
         }
         plan.turns.push_back(call);
+        ++turnsAhead;
         turnsSinceLate = isLateTurn ? 0 : turnsSinceLate + 1;
     }
     return plan;
@@ -85,6 +91,8 @@
 
 void WaitingTurns::onSent(const WaitingTerms &call, Clock::time_point now)
 {
+    if (!call.takesTurn)
+        return;
     m_turnsSinceLate = call.canBeInTime(now) ? m_turnsSinceLate + 1 : 0;
     Clock::duration interval = std::max(now - m_lastTurnAt, Clock::duration::zero());
     m_lastTurnAt = now;
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -285,6 +285,7 @@
     if (!doubted.empty()) {
         probeLimits(doubted, call.service, call.request, call.priority, now);
         call.probesUntil = now + MaxProbeWait;
+        armLateTimer(call.waitingTerms().latestStart());
         m_waiting[call.service].push_back(std::move(call));
         armPermitTimer(now);
         return {CallState::Waiting, {}};
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -110,7 +110,8 @@
     /// Whether the call ends at `permitLimit` if it still waits and some of its targets are
     /// limited.
     bool endsAtPermitLimit = false;
-    /// Until when the call waits for a permit although other targets could take it.
+    /// Until when the call waits for a permit although other targets could take it. Reset once it
+    /// waits for its turn instead.
     Clock::time_point probesUntil{};
     /// The latest time at which a permit is of use.
     Clock::time_point permitLimit = Clock::time_point::max();
@@ -134,7 +135,11 @@
     /// What `onStalled` was last called with.
     bool isStalled = false;
 
-    WaitingTerms waitingTerms() const { return {usefulUntil, request->deadline, expectedLatency}; }
+    bool isProbing() const { return probesUntil != Clock::time_point(); }
+    WaitingTerms waitingTerms() const
+    {
+        return {usefulUntil, request->deadline, expectedLatency, !isProbing()};
+    }
 };
 
 /// Returns whether a response cannot be the target's own: it is encoded, or succeeds without a
@@ -203,8 +208,8 @@
     /// Records that the response to a call is overdue.
     void onOverdue(const TargetHandlePtr &target, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
-    /// `callLatency`; zero if no call waits. Calls that will be late in any case do not count, as
-    /// they get few turns.
+    /// `callLatency`; zero if no call waits for its turn. Calls that will be late in any case do
+    /// not count, as they get few turns.
     Clock::duration expectedWait(const std::string &service, Clock::duration callLatency,
                                  Clock::time_point now) const;
     /// Returns whether another call to a service would get its turn in time if it had to wait.
@@ -293,6 +298,11 @@
     /// Starts to wait with a call. Returns why it cannot get its turn in time instead.
     std::optional<TargetAbsence> enqueue(ServiceCall call, bool needsSlotOnly,
                                          Clock::time_point now);
+    /// Returns how many of the waiting calls take a turn.
+    static std::size_t countTurns(const std::vector<ServiceCall> &waiting);
+    /// Makes the calls that have waited long enough to probe wait for their turns.
+    static void queueProbed(std::vector<ServiceCall> &waiting, WaitingTurns &turns,
+                            Clock::time_point now);
     /// Returns why a call ends that is refused, and when the `waiting` calls have been sent.
     static TargetAbsence refusalOf(WaitingTurns::Refusal why, const WaitingTurns &turns,
                                    std::size_t waiting, Clock::time_point now);
--- a/src/entry/targetdirectory_limits.cpp
+++ b/src/entry/targetdirectory_limits.cpp
@@ -288,7 +288,7 @@
             if (const auto waiting = m_waiting.find(service); waiting != m_waiting.end())
                 for (ServiceCall &call : waiting->second)
                     if (call.request == request)
-                        call.probesUntil = Clock::time_point{};
+                        call.probesUntil = std::min(call.probesUntil, grantedAt);
             reviewWaiting(service, grantedAt);
         },
         now);
--- a/src/entry/targetdirectory_waiting.cpp
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -36,11 +36,12 @@
                                               Clock::time_point now) const
 {
     const auto waiting = m_waiting.find(service);
-    if (waiting == m_waiting.end())
+    if (waiting == m_waiting.end() || countTurns(waiting->second) == 0)
         return Clock::duration::zero();
-    const auto callsAhead = std::count_if(
-        waiting->second.begin(), waiting->second.end(),
-        [now](const ServiceCall &call) { return call.waitingTerms().canBeInTime(now); });
+    const auto callsAhead =
+        std::count_if(waiting->second.begin(), waiting->second.end(), [now](const auto &call) {
+            return !call.isProbing() && call.waitingTerms().canBeInTime(now);
+        });
     std::uint32_t capacity = 0;
     if (const auto it = m_byService.find(service); it != m_byService.end())
         for (const TargetHandlePtr &handle : it->second)
@@ -78,7 +79,7 @@
     const std::string service = call.service;
     std::vector<ServiceCall> &waiting = m_waiting[service];
     WaitingTurns &turns = m_turns[service];
-    turns.onQueued(waiting.empty(), now);
+    turns.onQueued(countTurns(waiting) == 0, now);
     waiting.push_back(std::move(call));
     const WaitingTurns::Plan plan = turns.plan(termsOf(waiting), now);
     const std::size_t last = waiting.size() - 1;
@@ -88,7 +89,7 @@
     // The rate of turns does not tell when a pause ends or a permit is granted.
     if (refused != plan.refused.end()
         && (needsSlotOnly || refused->why == WaitingTurns::Refusal::NoTime)) {
-        const TargetAbsence absence = refusalOf(refused->why, turns, waiting.size(), now);
+        const TargetAbsence absence = refusalOf(refused->why, turns, countTurns(waiting), now);
         if (waiting.back().permit)
             addSparePermit(*waiting.back().permit);
         waiting.pop_back();
@@ -114,6 +115,23 @@
                         [&terms](const auto &each) { return each.call + 1 == terms.size(); });
 }
 
+std::size_t TargetDirectory::countTurns(const std::vector<ServiceCall> &waiting)
+{
+    return static_cast<std::size_t>(std::count_if(
+        waiting.begin(), waiting.end(), [](const ServiceCall &call) { return !call.isProbing(); }));
+}
+
+void TargetDirectory::queueProbed(std::vector<ServiceCall> &waiting, WaitingTurns &turns,
+                                  Clock::time_point now)
+{
+    for (ServiceCall &call : waiting) {
+        if (!call.isProbing() || now < call.probesUntil)
+            continue;
+        turns.onQueued(countTurns(waiting) == 0, now);
+        call.probesUntil = Clock::time_point();
+    }
+}
+
 TargetAbsence TargetDirectory::refusalOf(WaitingTurns::Refusal why, const WaitingTurns &turns,
                                          std::size_t waiting, Clock::time_point now)
 {
@@ -149,10 +167,11 @@
             std::stable_partition(waiting.begin(), waiting.end(), [now](const ServiceCall &call) {
                 return call.waitingTerms().latestStart() > now;
             });
+        const std::size_t turnsNeeded = countTurns(waiting);
         for (auto call = firstLate; call != waiting.end(); ++call)
             ended.emplace_back(std::move(*call),
                                refusalOf(WaitingTurns::Refusal::NoTime, m_turns[service->first],
-                                         waiting.size(), now));
+                                         turnsNeeded, now));
         waiting.erase(firstLate, waiting.end());
         for (const ServiceCall &call : waiting)
             next = std::min(next, call.waitingTerms().latestStart());
@@ -203,6 +222,7 @@
     }
     std::size_t index = 0;
     std::erase_if(waiting, [&](const ServiceCall &) { return isSent[index++]; });
+    queueProbed(waiting, turns, now);
     if (waiting.empty())
         m_waiting.erase(service);
 }
@@ -215,6 +235,7 @@
     std::vector<ServiceCall> waiting = std::move(it->second);
     m_waiting.erase(it);
     WaitingTurns &turns = m_turns[service];
+    const std::size_t turnsNeeded = countTurns(waiting);
     std::vector<ServiceCall> left;
     std::vector<std::pair<ServiceCall, TargetAbsence>> ended;
     std::vector<std::pair<std::function<void(bool)>, bool>> stallChanges;
@@ -226,7 +247,7 @@
             return;
         }
         if (refusal == WaitingTurns::Refusal::NoTime) {
-            ended.emplace_back(std::move(call), refusalOf(*refusal, turns, waiting.size(), now));
+            ended.emplace_back(std::move(call), refusalOf(*refusal, turns, turnsNeeded, now));
             return;
         }
         const TargetHandlePtr target = hasFreeSlot ? pick(found.handles, now) : nullptr;
@@ -237,7 +258,7 @@
         }
         // The rate of turns does not tell when a pause ends or a permit is granted.
         if (refusal && !found.handles.empty()) {
-            ended.emplace_back(std::move(call), refusalOf(*refusal, turns, waiting.size(), now));
+            ended.emplace_back(std::move(call), refusalOf(*refusal, turns, turnsNeeded, now));
             return;
         }
         if (call.endsAtPermitLimit && !found.limited.empty() && now >= call.permitLimit) {
@@ -257,6 +278,7 @@
         review(waiting[index], std::nullopt);
     for (const auto &[index, why] : plan.refused)
         review(waiting[index], why);
+    queueProbed(left, turns, now);
     if (!left.empty())
         std::move(left.begin(), left.end(), std::back_inserter(m_waiting[service]));
     endWaiting(ended);
--- a/test/unit/waitingturns_test.cpp
+++ b/test/unit/waitingturns_test.cpp
@@ -242,6 +242,40 @@
     }
 }
 
+TEST_CASE("A call that waits for a permit only does not count as a turn")
+{
+    WaitingTurns turns;
+    const WaitingTerms permitOnly{Start + 1s, Start + 2s, 0ms, false};
+
+    SECTION("in the rate of the turns")
+    {
+        turns.onQueued(true, Start - 1s);
+        for (int turn = 1; turn <= 20; ++turn)
+            turns.onSent(permitOnly, Start - 1s + turn * 50ms);
+        CHECK_FALSE(turns.timeForTurns(1));
+    }
+    SECTION("ahead of other calls, and is not refused for want of a turn")
+    {
+        turns.onQueued(true, Start - 9s);
+        for (int turn = 0; turn <= 8; ++turn)
+            turns.onSent(termsOf(1s, 2s), Start - 8s + turn * 1s);
+        const std::vector<WaitingTerms> calls{permitOnly, permitOnly, termsOf(1500ms, 1500ms),
+                                              termsOf(1600ms, 1600ms), termsOf(1700ms, 1700ms)};
+        const auto plan = turns.plan(calls, Start);
+        CHECK(plan.turns == Order{0, 1, 2, 3});
+        REQUIRE(plan.refused.size() == 1);
+        CHECK(plan.refused.front().call == 4);
+    }
+    SECTION("between two calls that will be late")
+    {
+        for (int turn = 1; turn < 16; ++turn)
+            turns.onSent(termsOf(1s, 4s), Start);
+        turns.onSent({Start - 10ms, Start + 1s, 0ms, false}, Start);
+        const std::vector<WaitingTerms> calls{termsOf(1s, 4s), termsOf(-10ms, 1s)};
+        CHECK(turns.plan(calls, Start).turns.front() == 1);
+    }
+}
+
 TEST_CASE("Each call that waits is sent in time or refused as soon as that is known")
 {
     const auto seed = GENERATE(range(1U, 26U));
