Keep the limit of a target that answers while one response is overdue

Cause: a response counts as overdue at the hedge delay, 550 ms at a route of 1,000 ms, and each one reset the number of concurrent requests to the target to one. Where requests take 20 to 900 ms this is more than a third of them, so a VM kept limits of 1 or 2 for targets with 20 slots, and its calls waited and were refused while slots were unused.

Change: an overdue response resets the limit only if the target has answered nothing for the time within which most responses come. It is avoided as before. The limit is reset also if it is avoided already.

A target that stalls still gets one request at a time after the usual time.

--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -33,9 +33,10 @@
     void onLost(Clock::time_point now);
     /// Records that a request was dropped before any byte of it was sent.
     void onUnsent() { --m_inFlight; }
-    /// Records that a response is overdue. The target is avoided until it responds, or for a
-    /// limited time.
-    void onOverdue(Clock::time_point now);
+    /// Records that a response is overdue, as most come within `usualTime`. The target is avoided
+    /// until it responds, or for a limited time. If it has answered nothing else for as long, the
+    /// number of concurrent requests grows from one again.
+    void onOverdue(Clock::duration usualTime, Clock::time_point now);
     /// Lets the number of concurrent requests grow from one again, for a target that returns.
     void resetLimit() { m_limit.reset(); }
     /// Sets when the target's warm-up ends; until then it counts as slower.
@@ -64,6 +65,7 @@
     void startAvoidance(Clock::time_point now);
 
     SlotLimit m_limit;
+    Clock::time_point m_lastAnswerAt{};
     std::uint32_t m_inFlight = 0;
     double m_slowness = 1.0;
     std::uint32_t m_consecutiveFailures = 0;
--- a/src/core/targetload.cpp
+++ b/src/core/targetload.cpp
@@ -37,6 +37,7 @@
                             Clock::time_point now)
 {
     --m_inFlight;
+    m_lastAnswerAt = now;
     m_consecutiveFailures = 0;
     m_avoidUntil = std::min(m_avoidUntil, now);
     if (expected.count() <= 0)
@@ -60,18 +61,21 @@
 void TargetLoad::onLost(Clock::time_point now)
 {
     --m_inFlight;
+    m_limit.reset();
     startAvoidance(now);
 }
 
-void TargetLoad::onOverdue(Clock::time_point now)
+void TargetLoad::onOverdue(Clock::duration usualTime, Clock::time_point now)
 {
+    // A target that answers others does not stall: this request takes long.
+    if (now - m_lastAnswerAt >= usualTime)
+        m_limit.reset();
     if (!isAvoided(now))
         startAvoidance(now);
 }
 
 void TargetLoad::startAvoidance(Clock::time_point now)
 {
-    m_limit.reset();
     const auto avoidance = FirstAvoidance * (1U << std::min(m_consecutiveFailures, 3U));
     ++m_consecutiveFailures;
     m_avoidUntil = std::max(m_avoidUntil, now + std::min<Clock::duration>(avoidance, MaxAvoidance));
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -137,6 +137,7 @@
         terms.hedgeDelay = std::clamp<Clock::duration>(
             m_route.partLatencies.quantile(HedgeQuantile),
             shareOf(route.latencyTarget, MinHedgeShare), terms.hedgeDelay);
+    m_hedgeDelay = terms.hedgeDelay;
     terms.deadline = m_request.deadline;
     m_partialAnswerFrom =
         std::min(terms.deadline, m_request.receivedAt + route.latencyTarget - state.replyMargin);
@@ -543,7 +544,7 @@
 {
     for (const Copy &copy : part.copies)
         if (copy.isPending)
-            m_state.directory.onOverdue(copy.target, now);
+            m_state.directory.onOverdue(copy.target, m_hedgeDelay, now);
 }
 
 void RequestExchange::armTimer()
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -133,6 +133,7 @@
     OnFinished m_onFinished;
     RouteState &m_route;
     Clock::duration m_expectedLatency{};
+    Clock::duration m_hedgeDelay{};
     Clock::time_point m_partialAnswerFrom;
     /// The least number of parts that a successful answer contains.
     std::size_t m_minParts = 1;
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -200,8 +200,8 @@
     /// Returns the service of the target that a permit is for; empty if it is not listed any more.
     std::string serviceOf(const HeldPermit &permit) const;
     void onPermits(const PermitReply &reply) { m_permits.onReply(reply); }
-    /// Records that the response to a call is overdue.
-    void onOverdue(const TargetHandlePtr &target, Clock::time_point now);
+    /// Records that the response to a call is overdue; most come within `usualTime`.
+    void onOverdue(const TargetHandlePtr &target, Clock::duration usualTime, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
     /// `callLatency`; zero if no call waits. Calls that will be late in any case do not count, as
     /// they get few turns.
--- a/src/entry/targetdirectory_outcomes.cpp
+++ b/src/entry/targetdirectory_outcomes.cpp
@@ -18,10 +18,11 @@
     onFailingMayHaveChanged(*target, wasFailing);
 }
 
-void TargetDirectory::onOverdue(const TargetHandlePtr &target, Clock::time_point now)
+void TargetDirectory::onOverdue(const TargetHandlePtr &target, Clock::duration usualTime,
+                                Clock::time_point now)
 {
     const bool wasFailing = target->load.isFailing();
-    target->load.onOverdue(now);
+    target->load.onOverdue(usualTime, now);
     onFailingMayHaveChanged(*target, wasFailing);
 }
 
