Take calls back that wait for a connection when a target names a limit

A VM may give a target more calls than it has connections to it, as the service's total is divided among the fleet. The rest waits in the channels. A permit is used when a call is given to the channels. So when the target named a limit, or a lower one, the permits were cleared, but the calls that waited went out all the same, one for each response, without a permit for the new limit. A pause takes these calls back; a limit did not.

To take them back as a pause does was not enough: the call came back as a failed one, its target counted as tried and its next send as a retry, so a service with one target had none left and the caller got a 503. A call that is taken back now counts as neither tried nor refused, is not counted or paid for again, and queues in the directory, for permits too. If another copy of the part may still be answered, it waits no longer than a hedge. The same holds for the calls that a pause takes back.

Ruled out: the order of events. The limit is handled before the connection that carried the response becomes available.

--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -131,6 +131,8 @@
         return prefix + "waits for a target of " + decision.service
             + (decision.reason == "failing" ? ", as each one fails and is being probed"
                                             : " with capacity");
+    if (decision.action == "taken_back")
+        return prefix + "taken back, not sent, while it waited for a connection to " + target;
     if (decision.action == "not_sent")
         return prefix + "not sent to " + decision.service + ": "
             + textOrKey(NotSentTexts, decision.reason);
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -385,7 +385,8 @@
         m_state.budgets.share(part.service).trySpend(now);
     part.isWaiting = state == CallState::Waiting;
     part.waitingSince = now;
-    countSend(action.cause);
+    if (payment != Payment::Made)
+        countSend(action.cause);
     return isStalled ? m_machine->onStalled(action.part, true, now) : RequestActions{};
 }
 
@@ -505,6 +506,19 @@
     return std::nullopt;
 }
 
+RequestActions RequestExchange::onTakenBack(std::size_t part, const TargetHandlePtr &target,
+                                            Clock::time_point now)
+{
+    Part &state = m_parts[part];
+    addToTrace("taken_back", state.service, target->info.id, "");
+    std::erase_if(state.copies, [&target](const Copy &copy) { return copy.target == target; });
+    state.hasFirstCopy = !state.copies.empty();
+    // While another copy may be answered, this one waits no longer than a hedge.
+    const bool hasOther = std::any_of(state.copies.begin(), state.copies.end(),
+                                      [](const Copy &copy) { return copy.isPending; });
+    return callTarget({part, hasOther ? SendCause::Hedge : SendCause::First}, Payment::Made, now);
+}
+
 void RequestExchange::onReply(std::size_t part, const TargetHandlePtr &target,
                               TargetCallResult reply)
 {
@@ -515,6 +529,10 @@
     if (m_isFinished)
         return;
     const Clock::time_point now = Clock::now();
+    if (reply.end == TargetCallResult::End::Unsent && !state.isAnswered) {
+        perform(onTakenBack(part, target, now));
+        return;
+    }
     const auto verdict = classifyReply(reply);
     if (verdict) {
         addToTrace("failed", state.service, target->info.id, toString(verdict->reason).data());
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -77,7 +77,8 @@
     void perform(RequestActions actions);
     RequestActions sendPart(const SendPart &action, Clock::time_point now);
     /// The budget that pays for a send: none for first requests, else this VM's share or the pool.
-    enum class Payment : std::uint8_t { None, Share, Pool };
+    /// What was taken back has been paid for and counted.
+    enum class Payment : std::uint8_t { None, Share, Pool, Made };
     RequestActions callTarget(const SendPart &action, Payment payment, Clock::time_point now);
     void countSend(SendCause cause);
     /// Adds to the trace why there is no target for a part.
@@ -96,6 +97,10 @@
     void onFirstByte(std::size_t part);
     /// Handles that a copy was given to a target's connections.
     void onSent(std::size_t part, const TargetHandlePtr &target, CallNumber call);
+    /// Sends again a copy that waited for a connection until its target was closed to it. The copy
+    /// counts as neither tried nor refused.
+    RequestActions onTakenBack(std::size_t part, const TargetHandlePtr &target,
+                               Clock::time_point now);
     void onReply(std::size_t part, const TargetHandlePtr &target, TargetCallResult reply);
     /// Returns the failure that a reply stands for; no value if the reply answers the part.
     std::optional<Verdict> classifyReply(const TargetCallResult &reply) const;
--- a/src/entry/targetdirectory_limits.cpp
+++ b/src/entry/targetdirectory_limits.cpp
@@ -208,6 +208,7 @@
 {
     using Change = TargetLimit::Change;
     const bool wasInDoubt = LimitShare::isInDoubt(target.standing->limit(), now);
+    const std::optional<double> before = target.standing->limit().value();
     const Change change = target.standing->limit().onResponse(limit, sentAt, now);
     if (change == Change::None) {
         // No other VM needs to ask the target meanwhile.
@@ -224,6 +225,9 @@
               {"limit_per_s", limit ? std::to_string(*limit) : ""}});
     if (change != Change::Ended) {
         m_metrics.targetNotices.Add({{"kind", "limit"}}).Increment();
+        // No permit for this limit was used for the calls that wait for a connection.
+        if (!before || limit < before)
+            target.channels.dropWaiting();
         reportLimit(target, now);
         return;
     }
