--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -532,7 +532,7 @@
     if (m_isFinished)
         return;
     const Clock::time_point now = Clock::now();
-    if (reply.end == TargetCallResult::End::Unsent && !state.isAnswered) {
+    if (reply.end == TargetCallResult::End::Unsent && !state.isAnswered && !m_sendingEndedBy) {
         perform(onTakenBack(part, target, now));
         return;
     }
