End the wait for parts by what the rest of an answer takes

Cause, by the traces: the wait for parts ended a fixed 10 ms before the aim, counted from when the request was read. The way there and back alone is 6 ms, 12 on a new connection, and on 0.12 of a core the merge and the write take longer.

Change: - ReplyLead (library): the way is what TCP has measured on the caller's connection, with its deviation, and how long the request lay unread; what this VM needs is learned from the answers that it ended by the time. reply_margin_ms is now the bound of the latter. Shown as mangoshift_reply_lead_seconds, reply_lead_us, answer_by_ms and way_ms. - At that moment all responses that have arrived count. Before, the first of them that was read ended the answer without the others (test "when a query is answered, for all of its parts": one part was missing). - A part is late, and hedged, by the time since a target was chosen for it, not since the query began: a small VM needs tens of milliseconds to send 90 parts and hedged most of them. A part that waited past that time was never hedged; now it is, once it was sent and late. Hedges of one query go out at eight moments in a hedge delay, not one by one.

--- a/include/mangoshift/requestmachine.h
+++ b/include/mangoshift/requestmachine.h
@@ -69,8 +69,15 @@
     /// Handles that a copy may arrive at a target from now on. Until then it waits inside this VM:
     /// for a target, for a permit, for the end of a pause or for a connection.
     void onSent(std::size_t part);
+    /// Handles that a target was chosen for a copy of a part: from now on it may be late. Until
+    /// then a further copy would wait for the same targets.
+    void onPlaced(std::size_t part, Clock::time_point now);
     /// Handles a target's response to a copy of a part.
     RequestActions onAnswered(std::size_t part, Clock::time_point now);
+    /// Sets whether the responses are being read that had arrived before a decision by the time.
+    /// Meanwhile the time ends no wait for parts, as all of these responses count; `onTimer` must
+    /// be called afterwards.
+    void setReadingArrived(bool isReading) { m_isReadingArrived = isReading; }
     /// Handles the failure of one copy of a part that was sent.
     RequestActions onFailed(std::size_t part, const Verdict &verdict, Clock::time_point now);
     /// Handles a copy of a part for which a target was chosen and that ended before it was sent.
@@ -81,6 +88,9 @@
     /// Handles a hedge that was not sent for lack of a target or of budget; the part is not hedged
     /// again, and fails if no other copy of it is in flight.
     RequestActions onHedgeDropped(std::size_t part, Clock::time_point now);
+    /// Handles a hedge that was not sent because the part still waits for a target; it is hedged
+    /// later, if it is late after one was chosen.
+    RequestActions onHedgeDeferred(std::size_t part, Clock::time_point now);
     /// Handles that a part waits only for targets that fail, or no longer does. An answer that
     /// holds `minParts` parts does not wait for such a part.
     RequestActions onStalled(std::size_t part, bool isStalled, Clock::time_point now);
@@ -113,6 +123,8 @@
         Clock::time_point hedgeAt;
     };
 
+    /// Returns when a copy is late that was given to a target at `now`.
+    Clock::time_point hedgeTime(Clock::time_point now) const;
     SendPart send(std::size_t part, SendCause cause, Clock::time_point now);
     RequestActions handleFailure(std::size_t part, const Verdict &verdict, Clock::time_point now);
     /// Records the failure of a copy. Returns true if the part must now be retried or marked as
@@ -127,11 +139,13 @@
 
     RequestTerms m_terms;
     std::vector<Part> m_parts;
+    Clock::time_point m_startedAt{};
     std::size_t m_answered = 0;
     std::size_t m_failed = 0;
     /// The worst execution state of all copies that have failed.
     Execution m_execution = Execution::NotRun;
     Verdict m_lastFailure;
+    bool m_isReadingArrived = false;
     bool m_isFinished = false;
 };
 
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -58,6 +58,8 @@
                        .Name("mangoshift_entry_request_duration_seconds")
                        .Help("Time from receipt to answer")
                        .Register(*m_registry))
+    , replyLead(gauges(*m_registry, "mangoshift_reply_lead_seconds",
+                       "Time kept for ending an answer of a route"))
     , callerConnectionsEnded(counters(*m_registry, "mangoshift_caller_connections_ended_total",
                                       "Ended connections of callers, by cause and phase"))
     , entrySends(counters(*m_registry, "mangoshift_entry_sends_total",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -62,6 +62,9 @@
     prometheus::Family<prometheus::Counter> &entryRequests;
     /// Time from receiving a request to answering it at this entry VM, by `route`, in seconds.
     prometheus::Family<prometheus::Histogram> &entrySeconds;
+    /// How long before an answer of a `route` has to leave this VM ends the wait for its parts, as
+    /// measured; in seconds. See `ReplyLead`.
+    prometheus::Family<prometheus::Gauge> &replyLead;
     /// Connections of callers that have ended, by `cause` and `phase`; see `ConnectionEnd`.
     prometheus::Family<prometheus::Counter> &callerConnectionsEnded;
     /// Requests that this entry VM sent to targets, by `cause` (`first`, `hedge`, `retry`);
--- a/src/core/requestmachine.cpp
+++ b/src/core/requestmachine.cpp
@@ -9,6 +9,9 @@
 /// The number of refusals after which a part is not retried. With two to ten targets for each
 /// service, more refusals mean that all targets are full.
 constexpr std::uint32_t MaxRefusals = 3;
+/// Hedges are sent at this many moments in a hedge delay at most.
+constexpr int HedgeSteps = 8;
+constexpr std::chrono::milliseconds MinHedgeStep{1};
 
 } // namespace
 
@@ -20,6 +23,7 @@
 
 RequestActions RequestMachine::start(Clock::time_point now)
 {
+    m_startedAt = now;
     RequestActions actions;
     actions.reserve(m_parts.size());
     for (std::size_t i = 0; i < m_parts.size(); ++i)
@@ -42,6 +46,20 @@
     ++m_parts[part].sent;
 }
 
+void RequestMachine::onPlaced(std::size_t part, Clock::time_point now)
+{
+    m_parts[part].hedgeAt = hedgeTime(now);
+}
+
+Clock::time_point RequestMachine::hedgeTime(Clock::time_point now) const
+{
+    // Parts that become late one shortly after the other are hedged at the same time.
+    const Clock::duration step =
+        std::max<Clock::duration>(m_terms.hedgeDelay / HedgeSteps, MinHedgeStep);
+    const Clock::duration sinceStart = now + m_terms.hedgeDelay - m_startedAt;
+    return m_startedAt + step * ((sinceStart + step - Clock::duration(1)) / step);
+}
+
 RequestActions RequestMachine::onAnswered(std::size_t part, Clock::time_point now)
 {
     RequestActions actions;
@@ -143,6 +161,15 @@
     return actions;
 }
 
+RequestActions RequestMachine::onHedgeDeferred(std::size_t part, Clock::time_point now)
+{
+    RequestActions actions = onHedgeDropped(part, now);
+    Part &state = m_parts[part];
+    state.canHedge = true;
+    state.hedgeAt = Clock::time_point::max();
+    return actions;
+}
+
 RequestActions RequestMachine::onStalled(std::size_t part, bool isStalled, Clock::time_point now)
 {
     RequestActions actions;
@@ -183,7 +210,8 @@
 {
     const std::size_t pending = m_parts.size() - m_answered - m_failed;
     const bool hasMinParts = m_answered >= m_terms.minParts;
-    if (hasMinParts && (!isWorthWaiting() || now >= m_terms.partialAnswerFrom)) {
+    const bool isTimeUp = now >= m_terms.partialAnswerFrom && !m_isReadingArrived;
+    if (hasMinParts && (!isWorthWaiting() || isTimeUp)) {
         m_isFinished = true;
         actions.emplace_back(ReturnAnswer{});
     } else if (m_answered + pending < m_terms.minParts) {
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -281,6 +281,7 @@
     request.connection = connection;
     request.http = std::move(http);
     request.receivedAt = Clock::now();
+    request.way = connection->way();
     // No request can be sent without the list of targets, even if a configuration is in force.
     if (m_isRegistryListed)
         request.routing = m_routing;
@@ -448,9 +449,13 @@
                                 {"limit_per_s", limitJson(handle->standing->limit())},
                                 {"permits", handle->standing->limit().permits(now)}};
     for (const auto &[name, route] : m_state.routes)
-        state["routes"][name] = {{"samples", route.partLatencies.samples()},
-                                 {"part_p50_us", route.partLatencies.quantile(0.5).count()},
-                                 {"part_p90_us", route.partLatencies.quantile(0.9).count()}};
+        state["routes"][name] = {
+            {"samples", route.partLatencies.samples()},
+            {"reply_lead_us",
+             std::chrono::duration_cast<std::chrono::microseconds>(route.replyLead.estimate())
+                 .count()},
+            {"part_p50_us", route.partLatencies.quantile(0.5).count()},
+            {"part_p90_us", route.partLatencies.quantile(0.9).count()}};
     return state.dump();
 }
 
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -43,9 +43,9 @@
     /// The longest time that a graceful stop may take.
     std::chrono::milliseconds stopTimeout{5000};
     std::size_t maxCallerConnections = 2000;
-    /// How long before the route's latency target the wait for further parts ends if there are
-    /// enough for an answer, to leave time for its way to the caller.
-    std::chrono::milliseconds replyMargin{10};
+    /// The most time that is kept of a route's latency target for ending an answer inside this VM;
+    /// see `ReplyLead`, which measures what is needed.
+    std::chrono::milliseconds replyMargin{30};
     /// How long a watch request to the store waits for a change. A lost response is noticed 0.7 s
     /// later, which must leave enough of the 3 s in which a configuration has to be in force to
     /// read the store again.
--- a/src/entry/entrystate.h
+++ b/src/entry/entrystate.h
@@ -14,6 +14,7 @@
 #include "entry/wireadapter.h"
 #include "mangoshift/latencydigest.h"
 #include "mangoshift/reachmonitor.h"
+#include "mangoshift/replylead.h"
 #include "mangoshift/routing.h"
 
 namespace mangoshift {
@@ -23,6 +24,8 @@
 {
     /// The latencies of targets' responses, one for each part of a request.
     LatencyDigest partLatencies;
+    /// What this VM needs to end an answer of this route.
+    ReplyLead replyLead;
     WeightedRoundRobin trafficSplit;
 };
 
--- a/src/entry/incomingrequest.h
+++ b/src/entry/incomingrequest.h
@@ -7,6 +7,7 @@
 #include "http/httpexchange.h"
 #include "http/httpstatus.h"
 #include "mangoshift/clock.h"
+#include "mangoshift/replylead.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/verdict.h"
 
@@ -18,6 +19,8 @@
     CallerConnectionPtr connection;
     HttpRequest http;
     Clock::time_point receivedAt;
+    /// The way between the caller and this VM, as far as it is known.
+    CallerWay way;
     /// The caller's id for this attempt.
     std::string id;
     /// The configuration that was in force when the request arrived; the request uses it to its
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -140,7 +140,9 @@
     m_hedgeDelay = terms.hedgeDelay;
     terms.deadline = m_request.deadline;
     m_partialAnswerFrom =
-        std::min(terms.deadline, m_request.receivedAt + route.latencyTarget - state.replyMargin);
+        std::min(terms.deadline,
+                 m_route.replyLead.answerBy(m_request.receivedAt, route.latencyTarget,
+                                            m_request.way, state.replyMargin));
     terms.partialAnswerFrom = m_partialAnswerFrom;
     m_machine.emplace(terms);
 }
@@ -280,9 +282,14 @@
 {
     Part &part = m_parts[action.part];
     if (action.cause == SendCause::Hedge) {
+        readArrived(part);
+        if (m_isFinished)
+            return {};
+        if (part.isAnswered)
+            return m_machine->onHedgeDropped(action.part, now);
         reportOverdue(part, now);
         if (part.isWaiting)
-            return m_machine->onHedgeDropped(action.part, now);
+            return m_machine->onHedgeDeferred(action.part, now);
     }
     if (m_sendingEndedBy)
         return onUnsent(action, {Execution::NotRun, *m_sendingEndedBy}, now);
@@ -476,6 +483,7 @@
     endWait(state, "sent", now);
     state.hasFirstCopy = true;
     m_machine->onStalled(part, false, now);
+    m_machine->onPlaced(part, now);
 }
 
 std::optional<Verdict> RequestExchange::classifyReply(const TargetCallResult &reply) const
@@ -583,7 +591,12 @@
 
 void RequestExchange::onTimer()
 {
-    readArrived();
+    const Clock::time_point due =
+        std::min(m_partialAnswerFrom, m_callerLeftEnd.value_or(Clock::time_point::max()));
+    if (Clock::now() >= due) {
+        m_isEndedByTime = m_machine->answeredParts() >= m_minParts;
+        readArrived();
+    }
     if (m_isFinished)
         return;
     const Clock::time_point now = Clock::now();
@@ -595,14 +608,20 @@
 
 void RequestExchange::readArrived()
 {
-    std::vector<std::pair<TargetHandlePtr, CallNumber>> pending;
-    for (const Part &part : m_parts)
-        for (const Copy &copy : part.copies)
-            if (copy.isPending)
-                pending.emplace_back(copy.target, copy.call);
-    for (const auto &[target, call] : pending)
-        if (!m_isFinished)
-            target->channels.readArrived(call);
+    m_machine->setReadingArrived(true);
+    for (std::size_t i = 0; i < m_parts.size() && !m_isFinished; ++i)
+        readArrived(m_parts[i]);
+    m_machine->setReadingArrived(false);
+}
+
+void RequestExchange::readArrived(const Part &part)
+{
+    // Copies may be added and taken back while they are read.
+    for (std::size_t i = 0; i < part.copies.size() && !m_isFinished; ++i) {
+        const Copy copy = part.copies[i];
+        if (copy.isPending)
+            copy.target->channels.readArrived(copy.call);
+    }
 }
 
 } // namespace mangoshift
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -131,6 +131,8 @@
     /// Handles the responses that have arrived and were not read yet because the thread was busy.
     /// To be called before a decision by the time; the request may finish within.
     void readArrived();
+    /// Does the same for the copies of one part.
+    void readArrived(const Part &part);
     void armTimer();
     void onTimer();
     /// Appends a decision to the request's trace, with the time since the request was received.
@@ -164,6 +166,8 @@
     std::size_t m_hedges = 0;
     std::size_t m_retries = 0;
     std::size_t m_denied = 0;
+    /// Whether the wait for further parts was ended by the time, with enough parts for an answer.
+    bool m_isEndedByTime = false;
     bool m_isFinished = false;
 };
 
--- a/src/entry/requestexchange_answers.cpp
+++ b/src/entry/requestexchange_answers.cpp
@@ -95,9 +95,15 @@
 {
     const bool isPartial = m_machine->answeredParts() < m_parts.size();
     HttpResponse response = fanOut() != nullptr ? mergedAnswer() : forwardedAnswer();
-    recordOutcome(response.status, isPartial ? "partial" : "complete",
-                  {Execution::Ran, Reason::Ok});
+    const int status = response.status;
     m_request.connection->respond(std::move(response));
+    const Clock::time_point writtenAt = Clock::now();
+    if (isPartial && m_isEndedByTime) {
+        m_route.replyLead.onReplied(m_partialAnswerFrom, writtenAt);
+        m_state.metrics.replyLead.Add({{"route", m_request.route->name}})
+            .Set(std::chrono::duration<double>(m_route.replyLead.estimate()).count());
+    }
+    recordOutcome(status, isPartial ? "partial" : "complete", {Execution::Ran, Reason::Ok});
     finish(UnneededReplyTimeout);
 }
 
@@ -260,6 +266,8 @@
               {"execution", std::string(toString(verdict.execution))},
               {"reason", std::string(toString(verdict.reason))},
               {"took_ms", millisecondsText(took)},
+              {"answer_by_ms", millisecondsText(m_partialAnswerFrom - m_request.receivedAt)},
+              {"way_ms", millisecondsText(m_request.way.outside())},
               {"parts",
                std::to_string(m_machine->answeredParts()) + "/" + std::to_string(m_parts.size())},
               {"hedges", std::to_string(m_hedges)},
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -58,6 +58,7 @@
     , m_events(events)
     , m_parser(HttpParser::Side::Requests, sizeLimits(limits))
     , m_timeouts(limits, Clock::now())
+    , m_acceptedAt(Clock::now())
 {
 }
 
@@ -167,10 +168,25 @@
     m_hasSentContinue = false;
     const CallerConnectionPtr self = shared_from_this();
     m_events.onRequest(self, std::move(request));
+    m_hasEarlierRequest = true;
     if (m_isReadClosed && phase() == CallerPhase::Working)
         onReadClosed();
 }
 
+CallerWay CallerConnection::way() const
+{
+    const TransportTimes times = transportTimes(m_socket);
+    CallerWay way;
+    way.roundTrip = times.roundTrip;
+    way.deviation = times.deviation;
+    way.unread = times.sinceLastData;
+    // A caller that needs the connection sends its request together with the last packet of the
+    // handshake.
+    way.isOpenedForRequest =
+        !m_hasEarlierRequest && Clock::now() - times.sinceLastData - m_acceptedAt < times.roundTrip;
+    return way;
+}
+
 void CallerConnection::reject(int status)
 {
     m_events.onRejected(status);
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -13,6 +13,7 @@
 #include "http/httpparser.h"
 #include "mangoshift/callertimeouts.h"
 #include "mangoshift/clock.h"
+#include "mangoshift/replylead.h"
 #include "mangoshift/routing.h"
 
 namespace mangoshift {
@@ -88,6 +89,8 @@
     /// connection is idle too long.
     void sweep(Clock::time_point now, const CallerLimits &limits);
     void close(ConnectionEnd::Cause cause);
+    /// Returns what is known of the way to the caller. To be called when a request has been read.
+    CallerWay way() const;
 
 private:
     void waitForData();
@@ -130,6 +133,9 @@
     bool m_isKeepAlive = true;
     bool m_closesAfterResponse = false;
     bool m_hasSentContinue = false;
+    Clock::time_point m_acceptedAt;
+    /// Whether a request was read before the current one.
+    bool m_hasEarlierRequest = false;
 };
 
 } // namespace mangoshift
--- a/src/http/socketoptions.cpp
+++ b/src/http/socketoptions.cpp
@@ -1,6 +1,7 @@
 #include "http/socketoptions.h"
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <asio/detail/socket_option.hpp>
 
@@ -35,4 +36,16 @@
                       ignored);
 }
 
+TransportTimes transportTimes(const asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    // The native handle does not change the socket, but Asio's accessor is not const.
+    const int handle = const_cast<asio::ip::tcp::socket &>(socket).native_handle();
+    if (getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return {};
+    return {std::chrono::microseconds(info.tcpi_rtt), std::chrono::microseconds(info.tcpi_rttvar),
+            std::chrono::milliseconds(info.tcpi_last_data_recv)};
+}
+
 } // namespace mangoshift
--- a/test/unit/requestexchange_test.cpp
+++ b/test/unit/requestexchange_test.cpp
@@ -32,6 +32,19 @@
         REQUIRE(fixture.runUntilReceived(caller, "\r\n\r\n"));
         CHECK(caller.hasReceived("X-Missing-Parts: 0"));
     }
+    SECTION("when a query is answered, for all of its parts")
+    {
+        PendingTarget &second = fixture.addTarget("i-b1", "b");
+        caller.send("all", "r1");
+        REQUIRE(fixture.runUntilArrived(first));
+        REQUIRE(fixture.runUntilArrived(second));
+        fixture.standStill(1100ms, [&first, &second] {
+            first.respond();
+            second.respond();
+        });
+        REQUIRE(fixture.runUntilReceived(caller, "\r\n\r\n"));
+        CHECK(caller.hasReceived("X-Missing-Parts: 0"));
+    }
     SECTION("when a hedge is due")
     {
         caller.send("safe", "r1");
--- a/test/unit/requestmachine_test.cpp
+++ b/test/unit/requestmachine_test.cpp
@@ -415,3 +415,34 @@
         CHECK(textOf(machine.onAnswered(1, Start + 26ms)) == "answer ");
     }
 }
+
+TEST_CASE("A part is late only after a target was chosen for it")
+{
+    RequestMachine machine(termsOf(2, 1, true));
+    REQUIRE(textOf(machine.start(Start)) == "send0 send1 ");
+    machine.onPlaced(0, Start + 1ms);
+
+    SECTION("so a part that was given to its target later is hedged later")
+    {
+        machine.onPlaced(1, Start + 15ms);
+        CHECK(textOf(machine.onTimer(Start + 23ms)) == "hedge0 ");
+        CHECK(textOf(machine.onTimer(Start + 34ms)).empty());
+        CHECK(textOf(machine.onTimer(Start + 35ms)) == "hedge1 ");
+    }
+    SECTION("and a part that still waits when its hedge is due is hedged once it was sent and late")
+    {
+        REQUIRE(textOf(machine.onTimer(Start + 23ms)) == "hedge0 hedge1 ");
+        CHECK(textOf(machine.onHedgeDeferred(1, Start + 23ms)).empty());
+        CHECK(machine.nextEvent() == Start + 1000ms);
+        machine.onPlaced(1, Start + 40ms);
+        CHECK(machine.nextEvent() == Start + 60ms);
+        CHECK(textOf(machine.onTimer(Start + 60ms)) == "hedge1 ");
+        CHECK(textOf(machine.onTimer(Start + 90ms)).empty());
+    }
+    SECTION("and parts that become late one shortly after the other are hedged together")
+    {
+        machine.onPlaced(1, Start + 2ms);
+        CHECK(machine.nextEvent() == Start + 22500us);
+        CHECK(textOf(machine.onTimer(Start + 22500us)) == "hedge0 hedge1 ");
+    }
+}
