Keep no more connections to a target than it accepts from all VMs

Change: shareConnections (library). While a target accepts a connection from each VM all is as before. Otherwise a VM keeps connections to some targets of each service, by weighted rendezvous hash of its name, and connects to the others for a single request. A request costs three times as much at a target to which no connection is kept and twice as much in another failure domain, so near targets come first where they are as good.

--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -42,6 +42,10 @@
     /// Sets when the target's warm-up ends; until then it counts as slower.
     void setWarmupEnd(Clock::time_point until) { m_warmupEnd = until; }
 
+    /// Sets how many times as much a request costs here as at a target that is as busy and as fast,
+    /// for reasons that do not change with the load.
+    void setRelativeCost(double cost) { m_relativeCost = cost; }
+
     /// Returns true while the target should get requests only if there is no other target.
     bool isAvoided(Clock::time_point now) const { return now < m_avoidUntil; }
     /// Returns true from a lost or overdue request until the next response.
@@ -68,6 +72,7 @@
     Clock::time_point m_lastAnswerAt{};
     std::uint32_t m_inFlight = 0;
     double m_slowness = 1.0;
+    double m_relativeCost = 1.0;
     std::uint32_t m_consecutiveFailures = 0;
     Clock::time_point m_avoidUntil{};
     Clock::time_point m_warmupEnd{};
--- a/src/core/targetload.cpp
+++ b/src/core/targetload.cpp
@@ -88,7 +88,8 @@
 
 double TargetLoad::cost(Clock::time_point now) const
 {
-    return (m_inFlight + 1.0) * m_slowness * (now < m_warmupEnd ? WarmupCost : 1.0);
+    return (m_inFlight + 1.0) * m_slowness * m_relativeCost
+        * (now < m_warmupEnd ? WarmupCost : 1.0);
 }
 
 std::optional<std::size_t> pickTarget(std::span<const TargetLoad *const> targets,
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -58,6 +58,7 @@
     , m_balancer(m_duty.io(), MaxBalancerConnections, readyEvents())
     , m_sweepTimer(m_duty.io())
 {
+    m_state.directory.setVm(settings.vm, settings.failureDomain);
 }
 
 EntryDuty::~EntryDuty()
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -18,9 +18,11 @@
 /// to serve for at least its drain time, which is 3 s in the users' deployments, after it has
 /// announced the drain.
 constexpr std::chrono::milliseconds DrainingPickTime{1000};
-/// The number of connections beyond the target's slots, so that a stuck connection does not block a
-/// slot.
-constexpr std::size_t SpareConnections = 1;
+/// How many times as much a request costs at a target of another failure domain, and at one to
+/// which no connection is kept. A target that is as busy and as fast as the others is then taken by
+/// one request in ten or fewer.
+constexpr double FarCost = 2.0;
+constexpr double UnconnectedCost = 3.0;
 /// Several times the targets of the largest deployment that is designed for.
 constexpr std::size_t MaxStandings = 16384;
 /// How long a call that other targets could take waits for a permit: some ten times the network's
@@ -43,7 +45,7 @@
     : m_io(io)
     , m_adapter(adapter)
     , m_metrics(metrics)
-    , m_fleetSize(fleetSize)
+    , m_sharers{{}, {}, fleetSize}
     , m_standings(MaxStandings)
     , m_permits(io, std::move(requestFromPool))
     , m_permitTimer(io)
@@ -88,8 +90,7 @@
         return;
     }
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address->ip), address->port);
-    ChannelOptions options;
-    options.maxConnections = connectionLimit(target);
+    const ChannelOptions options;
     auto handle =
         std::make_shared<TargetHandle>(m_io, target, endpoint, m_adapter.headers.target, options,
                                        m_counts, m_standings.of(target.id, target.startedAt));
@@ -104,6 +105,7 @@
     m_byService[target.service].push_back(handle);
     m_byLimitKey[handle->limitKey] = handle;
     m_byId.emplace(target.id, std::move(handle));
+    updateConnections(target.service);
     logEvent(LogLevel::Info, "target_listed",
              {{"target", target.id},
               {"service", target.service},
@@ -124,6 +126,8 @@
     if (service.empty()) {
         m_byService.erase(handle->info.service);
         m_turns.erase(handle->info.service);
+    } else {
+        updateConnections(handle->info.service);
     }
     handle->channels.retire();
     m_retired.push_back(handle);
@@ -131,30 +135,50 @@
              {{"target", id}, {"service", handle->info.service}});
 }
 
-std::size_t TargetDirectory::connectionLimit(const RegisteredTarget &target) const
-{
-    const std::size_t totalConnections =
-        m_routing ? m_routing->serviceOf(target.service).maxConnections : m_fleetSize;
-    return std::clamp<std::size_t>(totalConnections / m_fleetSize, 1,
-                                   target.slots + SpareConnections);
-}
-
 void TargetDirectory::setRouting(RoutingTablePtr routing)
 {
     m_routing = std::move(routing);
-    updateConnectionLimits();
+    updateConnections();
 }
 
 void TargetDirectory::setFleetSize(std::size_t vms)
 {
-    m_fleetSize = vms;
-    updateConnectionLimits();
+    if (vms == m_sharers.vms)
+        return;
+    m_sharers.vms = vms;
+    updateConnections();
 }
 
-void TargetDirectory::updateConnectionLimits()
+void TargetDirectory::setVm(const VmId &vm, const std::string &failureDomain)
 {
-    for (const auto &[id, handle] : m_byId)
-        handle->channels.setMaxConnections(connectionLimit(handle->info));
+    m_sharers.vm = vm;
+    m_sharers.failureDomain = failureDomain;
+    updateConnections();
+}
+
+void TargetDirectory::updateConnections()
+{
+    for (const auto &[service, handles] : m_byService)
+        updateConnections(service);
+}
+
+void TargetDirectory::updateConnections(const std::string &service)
+{
+    const std::vector<TargetHandlePtr> &handles = m_byService.at(service);
+    std::vector<const RegisteredTarget *> targets;
+    targets.reserve(handles.size());
+    for (const TargetHandlePtr &handle : handles)
+        targets.push_back(&handle->info);
+    const std::size_t limit =
+        m_routing ? m_routing->serviceOf(service).maxConnections : m_sharers.vms;
+    const std::vector<ConnectionTerms> terms = shareConnections(targets, limit, m_sharers);
+    for (std::size_t i = 0; i < handles.size(); ++i) {
+        TargetHandle &handle = *handles[i];
+        handle.channels.setTerms(terms[i]);
+        const bool isNear = handle.info.failureDomain == m_sharers.failureDomain;
+        handle.load.setRelativeCost((isNear || m_sharers.failureDomain.empty() ? 1.0 : FarCost)
+                                    * (terms[i].keepsIdle ? 1.0 : UnconnectedCost));
+    }
 }
 
 TargetDirectory::Candidates TargetDirectory::candidates(const ServiceCall &call,
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -17,6 +17,7 @@
 #include "entry/permitrequests.h"
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
+#include "mangoshift/connectionshare.h"
 #include "mangoshift/limitshare.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/targetload.h"
@@ -177,6 +178,8 @@
     void setRouting(RoutingTablePtr routing);
     /// Sets the number of VMs that share a target's connections.
     void setFleetSize(std::size_t vms);
+    /// Sets this VM's name and failure domain. Targets in the same domain are preferred.
+    void setVm(const VmId &vm, const std::string &failureDomain);
 
     /// Sends a request to a target with a free slot, and prefers targets with a low cost. A
     /// draining target is picked only if the service has no other target and it has been draining
@@ -235,8 +238,9 @@
 private:
     void list(const RegisteredTarget &target, Clock::time_point now);
     void delist(const TargetId &id);
-    void updateConnectionLimits();
-    std::size_t connectionLimit(const RegisteredTarget &target) const;
+    /// Applies this VM's share of the connections to the targets of all services, or of one.
+    void updateConnections();
+    void updateConnections(const std::string &service);
     /// The targets that may get a call, and why the others may not.
     struct Candidates
     {
@@ -321,7 +325,7 @@
     asio::io_context &m_io;
     const WireAdapter &m_adapter;
     Metrics &m_metrics;
-    std::size_t m_fleetSize;
+    ConnectionSharers m_sharers;
     RoutingTablePtr m_routing;
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
--- a/src/http/targetchannels.cpp
+++ b/src/http/targetchannels.cpp
@@ -78,7 +78,7 @@
         }
         endUnsent(std::move(next));
     }
-    if (m_isRetired) {
+    if (m_isRetired || !m_options.keepsIdle) {
         channel->close();
     } else {
         m_idle.push_back(channel);
@@ -164,9 +164,22 @@
     }
 }
 
+void TargetChannels::setTerms(const ConnectionTerms &terms)
+{
+    m_options.maxConnections = terms.most;
+    m_options.keepsIdle = terms.keepsIdle;
+    if (!terms.keepsIdle)
+        closeIdle();
+}
+
 void TargetChannels::retire()
 {
     m_isRetired = true;
+    closeIdle();
+}
+
+void TargetChannels::closeIdle()
+{
     for (const ChannelPtr &channel : std::exchange(m_idle, {}))
         channel->close();
 }
--- a/src/http/targetchannels.h
+++ b/src/http/targetchannels.h
@@ -16,6 +16,7 @@
 #include "http/httpexchange.h"
 #include "http/httpparser.h"
 #include "mangoshift/clock.h"
+#include "mangoshift/connectionshare.h"
 
 namespace mangoshift {
 
@@ -73,6 +74,8 @@
 struct ChannelOptions
 {
     std::size_t maxConnections = 2;
+    /// Whether a connection is kept after its response. Otherwise it is closed.
+    bool keepsIdle = true;
     /// The maximum time to establish a connection.
     std::chrono::milliseconds connectTimeout{500};
     /// The maximum number of calls waiting for a connection; further calls are refused.
@@ -140,7 +143,9 @@
     /// Ends the calls that wait for a connection; they have not been sent.
     void dropWaiting();
 
-    void setMaxConnections(std::size_t connections) { m_options.maxConnections = connections; }
+    /// Sets how many connections may be open, and whether idle ones are kept. Closes idle
+    /// connections that are not.
+    void setTerms(const ConnectionTerms &terms);
     /// Returns true if no call is waiting or in flight.
     bool isIdle() const { return m_waiting.empty() && m_idle.size() == m_channels.size(); }
     std::size_t openConnections() const { return m_channels.size(); }
@@ -162,6 +167,7 @@
     void openChannel();
     void onAvailable(const ChannelPtr &channel);
     void onClosed(const ChannelPtr &channel, bool wasConnected);
+    void closeIdle();
     void failWaitingCalls();
     /// Reports that a call which waited was not sent.
     void endUnsent(WaitingCall call);
--- a/test/unit/targetchannels_test.cpp
+++ b/test/unit/targetchannels_test.cpp
@@ -312,6 +312,37 @@
     }
 }
 
+TEST_CASE("A connection that may not be kept serves a single request")
+{
+    ChannelOptions options;
+    options.maxConnections = 1;
+    Exchange exchange(respondToRequest, options);
+    REQUIRE(exchange.call("r1") == "body of r1");
+    REQUIRE(exchange.channels().openConnections() == 1);
+
+    SECTION("so an idle one is closed when that comes to hold")
+    {
+        exchange.channels().setTerms({1, false});
+        CHECK(exchange.channels().openConnections() == 0);
+        AND_THEN("each further request has a connection of its own, which its response closes")
+        {
+            CHECK(exchange.call("r2") == "body of r2");
+            CHECK(exchange.channels().openConnections() == 0);
+            CHECK(exchange.call("r3") == "body of r3");
+            CHECK(exchange.counts().opened == 3);
+        }
+    }
+    SECTION("but a request in flight is not cut off, and those that wait get connections")
+    {
+        exchange.startCall("r2");
+        exchange.startCall("r3");
+        exchange.channels().setTerms({1, false});
+        REQUIRE(exchange.run([&] { return exchange.outcomes().size() == 3; }));
+        CHECK(exchange.outcomes()
+              == std::vector<std::string>{"body of r1", "body of r2", "body of r3"});
+    }
+}
+
 TEST_CASE("A call counts as sent from its first byte")
 {
     PendingConnections pendingConnections;
