--- a/test/unit/connectionshare_test.cpp
+++ b/test/unit/connectionshare_test.cpp
@@ -109,20 +109,20 @@
 
 TEST_CASE("Few kept connections change when a target is replaced")
 {
-    constexpr std::size_t Vms = 95;
+    constexpr std::size_t vms = 95;
     Service service{{targetIn("a", "d0"), targetIn("b", "d1"), targetIn("c", "d2")}};
     std::map<std::size_t, std::vector<ConnectionTerms>> before;
-    for (std::size_t vm = 0; vm < Vms; ++vm)
-        before[vm] = service.termsAt(vmOf(vm, Vms, 5), 50);
+    for (std::size_t vm = 0; vm < vms; ++vm)
+        before[vm] = service.termsAt(vmOf(vm, vms, 5), 50);
     service.targets.back() = targetIn("d", "d2");
     std::size_t moved = 0;
-    for (std::size_t vm = 0; vm < Vms; ++vm) {
-        const auto after = service.termsAt(vmOf(vm, Vms, 5), 50);
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        const auto after = service.termsAt(vmOf(vm, vms, 5), 50);
         for (std::size_t i = 0; i < 2; ++i)
             moved += after[i] == before[vm][i] ? 0 : 1;
     }
     // Only VMs that kept the old target, or keep the new one, choose anew.
-    CHECK(moved <= Vms / 2);
+    CHECK(moved <= vms / 2);
 }
 
 TEST_CASE("A VM keeps targets of its own failure domain more often than others")
--- a/test/unit/replylead_test.cpp
+++ b/test/unit/replylead_test.cpp
@@ -92,26 +92,26 @@
 // is judged is what a caller gets: the square of the share of parts if the answer leaves in time.
 TEST_CASE("Answers are worth more than with any fixed margin, whatever the speed of the VM")
 {
-    constexpr int Parts = 90;
-    constexpr int Queries = 400;
+    constexpr int parts = 90;
+    constexpr int queries = 400;
     const auto playWith = [](double coreShare, auto marginOf, auto onReplied) {
         std::minstd_rand random(7);
         std::lognormal_distribution<double> partMs(3.3, 0.6);
         std::exponential_distribution<double> jitter(1.0);
         double worth = 0;
-        for (int query = 0; query < Queries; ++query) {
+        for (int query = 0; query < queries; ++query) {
             const double margin = marginOf();
             int inTime = 0;
-            for (int part = 0; part < Parts; ++part)
+            for (int part = 0; part < parts; ++part)
                 inTime += partMs(random) <= 100.0 - margin ? 1 : 0;
             // Merging and writing take half a millisecond of a whole core; timers are late by as
             // much as another query of the same VM takes.
             const double neededMs = 0.5 / coreShare * (1.0 + 0.3 * jitter(random));
-            const double share = static_cast<double>(inTime) / Parts;
+            const double share = static_cast<double>(inTime) / parts;
             worth += neededMs <= margin ? share * share : 0.0;
             onReplied(neededMs);
         }
-        return worth / Queries;
+        return worth / queries;
     };
     const auto withFixed = [&playWith](double coreShare, double margin) {
         return playWith(
