Give no request the response that a target sends a second time

Callers' view, on the serve path: rows of another request. Reported by operators of similar systems; looked for here and shown by a test. Cause: a home's connection read ahead. A second copy of a response that had arrived on an idle connection was read only after the next request had been written on it, if the thread was busy, and was taken for its response. A copy that came later was always taken, as responses named no request. Change: bytes stay with the system until they are read; an idle connection on which anything has arrived, its end too, is closed instead of used. Ruled out: asking how many bytes are available with the read outstanding, as the system's read may have taken them already.

--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -44,10 +44,19 @@
     m_lastResponseAt = Clock::now();
     asio::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
-    read();
+    m_socket.non_blocking(true, ignored);
+    waitForData();
     m_pool->onConnected(shared_from_this());
 }
 
+bool TargetConnection::isQuiet()
+{
+    char byte = 0;
+    asio::error_code error;
+    m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 void TargetConnection::start(PooledRequest request, TargetPool::Done done)
 {
     m_request = std::move(request);
@@ -84,22 +93,33 @@
                       });
 }
 
-void TargetConnection::read()
+void TargetConnection::waitForData()
+{
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this()](const asio::error_code &error) {
+                            if (self->m_isClosed)
+                                return;
+                            if (error)
+                                self->close(HttpResult::End::Closed);
+                            else
+                                self->readSocket();
+                        });
+}
+
+void TargetConnection::readSocket()
 {
-    m_socket.async_read_some(asio::buffer(m_buffer),
-                             [self = shared_from_this()](asio::error_code error, std::size_t size) {
-                                 if (self->m_isClosed)
-                                     return;
-                                 if (error) {
-                                     self->close(HttpResult::End::Closed);
-                                 } else if (!self->m_done
-                                            || !self->m_reader.feed(self->m_buffer.data(), size)) {
-                                     // Bytes between two requests belong to neither.
-                                     self->close(HttpResult::End::Malformed);
-                                 } else if (!self->m_isClosed) {
-                                     self->read();
-                                 }
-                             });
+    asio::error_code error;
+    const std::size_t size = m_socket.read_some(asio::buffer(m_buffer), error);
+    if (error == asio::error::would_block) {
+        waitForData();
+    } else if (error) {
+        close(HttpResult::End::Closed);
+    } else if (!m_done || !m_reader.feed(m_buffer.data(), size)) {
+        // Bytes between two requests belong to neither.
+        close(HttpResult::End::Malformed);
+    } else if (!m_isClosed) {
+        waitForData();
+    }
 }
 
 void TargetConnection::armDeadline(Clock::time_point at)
@@ -129,6 +149,12 @@
         close(HttpResult::End::Malformed);
         return;
     }
+    const std::string_view echoedId = message.headers.value(CallIdHeader);
+    if (!echoedId.empty() && echoedId != m_request.callId) {
+        // The response to an earlier request, once more: the pending one may run all the same.
+        close(HttpResult::End::Malformed);
+        return;
+    }
     m_deadlineTimer.cancel();
     m_lastResponseAt = Clock::now();
     const bool isKeepAlive = message.keepAlive;
--- a/src/net/targetconnection.h
+++ b/src/net/targetconnection.h
@@ -22,7 +22,10 @@
 
     /// Starts connecting. The pool is notified of the result.
     void connect();
-    /// Sends a request. The connection must be idle.
+    /// Returns whether nothing has arrived on the idle connection, not even its end. A busy thread
+    /// may not have read it yet; what has arrived belongs to no request.
+    bool isQuiet();
+    /// Sends a request. The connection must be idle and quiet.
     void start(PooledRequest request, TargetPool::Done done);
     /// Cancels the pending request: sends a cancellation to the target, if the request is
     /// cancellable, and waits for the response during the grace period.
@@ -38,7 +41,9 @@
 private:
     void onConnect(asio::error_code error);
     void write();
-    void read();
+    /// Waits for bytes. They stay with the system until they are read, so that `isQuiet` sees them.
+    void waitForData();
+    void readSocket();
     void armDeadline(Clock::time_point at);
     void onDeadline();
     void onResponse(HttpResponse message);
--- a/src/net/targetpool.cpp
+++ b/src/net/targetpool.cpp
@@ -42,7 +42,7 @@
 
 void TargetPool::send(PooledRequest request, Done done, OnSent onSent)
 {
-    request.message.headers.add("x-call-id", request.callId);
+    request.message.headers.add(std::string(CallIdHeader), request.callId);
     m_waiting.push_back(WaitingRequest{std::move(request), std::move(done), std::move(onSent)});
     dispatchWaiting();
 }
@@ -72,6 +72,10 @@
         // The most recently used connection is the least likely to be dead.
         const ConnectionPtr connection = m_idle.back();
         m_idle.pop_back();
+        if (!connection->isQuiet()) {
+            connection->close();
+            continue;
+        }
         WaitingRequest next = std::move(m_waiting.front());
         m_waiting.pop_front();
         m_busy[next.request.callId] = connection;
--- a/src/net/targetpool.h
+++ b/src/net/targetpool.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include <asio/basic_waitable_timer.hpp>
@@ -19,6 +20,9 @@
 
 namespace mangoshift {
 
+/// The header with the id of a request to a target.
+inline constexpr std::string_view CallIdHeader = "x-call-id";
+
 /// The result of an HTTP request to a target.
 struct HttpResult
 {
@@ -36,7 +40,8 @@
 /// A request to be sent through a `TargetPool`.
 struct PooledRequest
 {
-    /// Identifies the request to the target, in the `x-call-id` header and in a cancellation.
+    /// Identifies the request to the target, in the header `CallIdHeader` and in a cancellation.
+    /// Targets may echo that header: a response with another id belongs to no pending request.
     std::string callId;
     HttpRequest message;
     Clock::time_point deadline;
--- a/standins/faketarget/target.cpp
+++ b/standins/faketarget/target.cpp
@@ -218,6 +218,7 @@
     HttpResponse response = makeResponse(200);
     response.headers.add("mangoshift-snapshot", std::to_string(snapshot));
     response.headers.add("content-type", "application/json");
+    response.headers.add("x-call-id", std::string(work.request.headers.value("x-call-id")));
     response.body = Json::array({{{"shard", work.shard},
                                   {"snapshot", snapshot},
                                   {"target", m_target.name},
--- a/test/unit/targetpool_test.cpp
+++ b/test/unit/targetpool_test.cpp
@@ -54,11 +54,17 @@
         });
     }
 
-    void respond(std::size_t request)
+    /// Responds to a request, as often as this is called, and echoes its id if `echoesId` is set.
+    /// The bytes are given to the system at once.
+    void respond(std::size_t request, bool echoesId = false)
     {
+        const Request &answered = requests.at(request);
         HttpResponse response;
         response.status = 200;
-        requests.at(request).connection->respond(response);
+        if (echoesId)
+            response.headers.add("x-call-id",
+                                 std::string(answered.message.headers.value("x-call-id")));
+        answered.connection->respond(response);
     }
 
     Address address() const { return {"127.0.0.1", acceptor.local_endpoint().port()}; }
@@ -240,3 +246,41 @@
     CHECK(fixture.results[0].end == HttpResult::End::ConnectFailed);
     CHECK_FALSE(fixture.results[0].hasSentBytes);
 }
+
+// Operators of similar systems saw the next caller get an answer that was not its own.
+TEST_CASE("A response that a target sends a second time answers no other request")
+{
+    PoolFixture fixture(1);
+    fixture.send("a");
+    REQUIRE(fixture.runUntil([&] { return fixture.target.requests.size() == 1; }));
+    fixture.target.respond(0, true);
+    REQUIRE(fixture.runUntil([&] { return fixture.results.size() == 1; }));
+
+    SECTION("if it arrives while the connection is idle")
+    {
+        fixture.target.respond(0);
+        REQUIRE(fixture.runUntil([&] { return fixture.pool->openConnections() == 0; }));
+        CHECK(fixture.results.size() == 1);
+    }
+    SECTION("if a busy thread has not read it when the connection is used again")
+    {
+        fixture.target.respond(0);
+        fixture.send("b");
+        REQUIRE(fixture.runUntil(
+            [&] { return fixture.target.requests.size() == 2 || fixture.results.size() == 2; }));
+        CHECK(fixture.results.size() == 1);
+        CHECK(fixture.target.accepted == 2);
+        fixture.target.respond(1);
+        REQUIRE(fixture.runUntil([&] { return fixture.results.size() == 2; }));
+        CHECK(fixture.results.back().end == HttpResult::End::Responded);
+    }
+    SECTION("if it arrives after the next request was written, and names its own id")
+    {
+        fixture.send("b");
+        REQUIRE(fixture.runUntil([&] { return fixture.target.requests.size() == 2; }));
+        fixture.target.respond(0, true);
+        REQUIRE(fixture.runUntil([&] { return fixture.results.size() == 2; }));
+        CHECK(fixture.results.back().end == HttpResult::End::Malformed);
+        CHECK(fixture.results.back().hasSentBytes);
+    }
+}
