--- a/src/net/targetconnection.cpp
+++ b/src/net/targetconnection.cpp
@@ -110,16 +110,17 @@
 {
     asio::error_code error;
     const std::size_t size = m_socket.read_some(asio::buffer(m_buffer), error);
-    if (error == asio::error::would_block) {
-        waitForData();
-    } else if (error) {
+    if (error && error != asio::error::would_block) {
         close(HttpResult::End::Closed);
-    } else if (!m_done || !m_reader.feed(m_buffer.data(), size)) {
+        return;
+    }
+    if (!error && (!m_done || !m_reader.feed(m_buffer.data(), size))) {
         // Bytes between two requests belong to neither.
         close(HttpResult::End::Malformed);
-    } else if (!m_isClosed) {
-        waitForData();
+        return;
     }
+    if (!m_isClosed)
+        waitForData();
 }
 
 void TargetConnection::armDeadline(Clock::time_point at)
