Record only what a VM needs after parts were due as its lead

Found when the diff was read again: an answer that ended because its caller had left before its parts were due was recorded as one that needed no time. Now only answers whose wait the time has ended are recorded.

--- a/include/mangoshift/connectionshare.h
+++ b/include/mangoshift/connectionshare.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "mangoshift/members.h"
--- a/include/mangoshift/replylead.h
+++ b/include/mangoshift/replylead.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 
 #include "mangoshift/clock.h"
@@ -59,7 +60,7 @@
     /// Records an answer that was due at `due`, because the wait for further parts ended then, and
     /// that was given to the network at `writtenAt`.
     void onReplied(Clock::time_point due, Clock::time_point writtenAt);
-    /// Returns how long before an answer has to leave it is to be decided.
+    /// Returns what this VM needs from the decision until the answer has left.
     Clock::duration estimate() const;
     /// Returns when the wait for further parts has to end for a request that was read at
     /// `receivedAt`. At most `bound` is kept for this VM's own work, and at least half of the
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -589,12 +589,10 @@
 
 void RequestExchange::onTimer()
 {
-    const Clock::time_point due =
-        std::min(m_partialAnswerFrom, m_callerLeftEnd.value_or(Clock::time_point::max()));
-    if (Clock::now() >= due) {
-        m_isEndedByTime = m_machine->answeredParts() >= m_minParts;
+    const Clock::time_point firedAt = Clock::now();
+    m_isEndedByTime = firedAt >= m_partialAnswerFrom && m_machine->answeredParts() >= m_minParts;
+    if (firedAt >= m_partialAnswerFrom || (m_callerLeftEnd && firedAt >= *m_callerLeftEnd))
         readArrived();
-    }
     if (m_isFinished)
         return;
     const Clock::time_point now = Clock::now();
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -19,8 +19,8 @@
 /// announced the drain.
 constexpr std::chrono::milliseconds DrainingPickTime{1000};
 /// How many times as much a request costs at a target of another failure domain, and at one to
-/// which no connection is kept. A target that is as busy and as fast as the others is then taken by
-/// one request in ten or fewer.
+/// which no connection is kept. As the weight of a target falls with the square of its cost, it is
+/// then picked a quarter and a ninth as often as one that is as busy and as fast.
 constexpr double FarCost = 2.0;
 constexpr double UnconnectedCost = 3.0;
 /// Several times the targets of the largest deployment that is designed for.
