End an unreadable limit in time, and only for a VM that cannot read it

Callers' view: a target that names unreadable limits after a readable one was left unused for 10 s, where 8 s are promised after the end of a limit. Cause: kept such a limit for 10 s. Change: 7 s, or the time of four requests, 16 s at most. What cannot be read is as old as what was read last, and a pool ends a limit only if no VM of its domain has read it for that long. A limit under 0.57 that turns to garbage for good ends later than 8 s.

--- a/include/mangoshift/limitpool.h
+++ b/include/mangoshift/limitpool.h
@@ -154,6 +154,8 @@
     {
         std::optional<double> limit;
         Clock::time_point heardAt{};
+        /// When a limit ends that a VM cannot read any more, unless another VM reads it before.
+        Clock::time_point endsAt = Clock::time_point::max();
         /// Below zero if permits have been granted that will be due later.
         double permits = 0.0;
         /// Decaying counts of the permits that were granted and denied, and of those denied to
--- a/include/mangoshift/targetlimit.h
+++ b/include/mangoshift/targetlimit.h
@@ -31,9 +31,13 @@
         Ended,
         Unreadable, ///< The limit cannot be read any more; reported once.
     };
-    /// How long a limit holds after the target has named it for the last time, while it names
-    /// limits that cannot be read: long enough for a fault on the way, not for good.
-    static constexpr std::chrono::seconds UnreadableTime{10};
+    /// How long a limit holds at least after the target has named it for the last time, while it
+    /// names limits that cannot be read. A target whose limit has ended is in use again within 8 s;
+    /// the rest of them is for the response that ends it.
+    static constexpr std::chrono::milliseconds MinUnreadableTime{7000};
+    /// How many requests a limit allows at least while it cannot be read, as one garbled response
+    /// says little.
+    static constexpr double MinUnreadableRequests = 4.0;
 
     /// Records the limit that a response names, in requests a second; no value if it names none.
     /// `sentAt` is when the request was sent that it answers; no value if that is not known.
@@ -43,9 +47,12 @@
     Change onResponse(std::optional<double> limit, std::optional<Clock::time_point> sentAt,
                       Clock::time_point now);
     /// Records a response that names a limit which cannot be read. That is no word that the
-    /// target's need is over, so the limit in force holds on, for `UnreadableTime` at most; then
-    /// the response counts as one without a limit.
+    /// target's need is over, so the limit in force holds on, for `unreadableTime` at most; then
+    /// the response counts as one without a limit, but `heardAt` stays when the limit was last
+    /// read: one that another VM has read since is newer.
     Change onUnreadable(std::optional<Clock::time_point> sentAt, Clock::time_point now);
+    /// Returns how long a limit, in requests a second, holds while it cannot be read.
+    static Clock::duration unreadableTime(double limit);
     /// Returns the limit in force, in requests a second; no value if there is none.
     std::optional<double> value() const { return m_value; }
     bool isLimited() const { return m_value.has_value(); }
--- a/src/core/limitpool.cpp
+++ b/src/core/limitpool.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "mangoshift/limitshare.h"
+#include "mangoshift/targetlimit.h"
 
 namespace mangoshift {
 
@@ -128,6 +129,9 @@
             account.lastPermitAt = m_grantsStartAt + NewOwnerTime - ProbeTime;
     }
     accrue(account, now);
+    // What a VM could not read is no word that the limit has ended while others read it.
+    if (account.limit && !heard.limit && heardAt <= account.heardAt)
+        account.endsAt = account.heardAt + TargetLimit::unreadableTime(*account.limit);
     if (isNew || heardAt > account.heardAt) {
         // A limit that is named anew starts without permits.
         if (!account.limit)
@@ -144,8 +148,13 @@
             account.loweredAt = now;
         account.limit = heard.limit;
         account.heardAt = heardAt;
+        account.endsAt = Clock::time_point::max();
         account.permits = std::min(account.permits, capacity(account));
     }
+    if (now >= account.endsAt) {
+        account.limit.reset();
+        account.endsAt = Clock::time_point::max();
+    }
     return account;
 }
 
--- a/src/core/targetlimit.cpp
+++ b/src/core/targetlimit.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangoshift/limitpool.h"
+
 namespace mangoshift {
 
 TargetLimit::Change TargetLimit::onResponse(std::optional<double> limit,
@@ -32,9 +34,20 @@
 {
     if (!m_value)
         return Change::None;
-    if (now - m_heardAt >= UnreadableTime)
-        return onResponse(std::nullopt, sentAt, now);
-    return std::exchange(m_isUnreadable, true) ? Change::None : Change::Unreadable;
+    const Clock::time_point heardAt = m_heardAt;
+    if (now - heardAt < unreadableTime(*m_value))
+        return std::exchange(m_isUnreadable, true) ? Change::None : Change::Unreadable;
+    const Change change = onResponse(std::nullopt, sentAt, now);
+    // Another VM may have read the limit since.
+    m_heardAt = heardAt;
+    return change;
+}
+
+Clock::duration TargetLimit::unreadableTime(double limit)
+{
+    const std::chrono::duration<double> time(MinUnreadableRequests
+                                             / std::max(limit, LimitPool::MinLimit));
+    return std::max<Clock::duration>(MinUnreadableTime, std::chrono::ceil<Clock::duration>(time));
 }
 
 void TargetLimit::addPermit(Clock::time_point validFrom, Clock::time_point now)
--- a/test/unit/limitpool_test.cpp
+++ b/test/unit/limitpool_test.cpp
@@ -429,6 +429,41 @@
     }
 }
 
+TEST_CASE("A limit that one VM cannot read any more")
+{
+    LimitPool pool(1);
+    pool.setIsOwner(true, Start);
+    const auto isOpen = [&pool](std::optional<double> limit, std::chrono::milliseconds age,
+                                Clock::time_point now) {
+        return countGranted(pool, askFor({limitOf(1, limit, age)}), 50, now) == 50;
+    };
+    REQUIRE_FALSE(isOpen(5.0, 0ms, Ready));
+
+    SECTION("holds on while another VM of the domain reads it")
+    {
+        for (int second = 1; second <= 30; ++second) {
+            const Clock::time_point now = Ready + std::chrono::seconds(second);
+            CHECK_FALSE(isOpen(std::nullopt, 8s, now));
+            CHECK_FALSE(isOpen(5.0, 100ms, now));
+        }
+    }
+    SECTION("ends a while after any of them has read it")
+    {
+        const Clock::time_point end = Ready + TargetLimit::unreadableTime(5.0);
+        CHECK_FALSE(isOpen(std::nullopt, 8s, Ready + 1s));
+        CHECK_FALSE(isOpen(std::nullopt, 13s, end - 1ms));
+        CHECK(isOpen(std::nullopt, 13s, end));
+        AND_THEN("holds again once one of them reads it")
+        {
+            CHECK_FALSE(isOpen(5.0, 0ms, end + 1s));
+        }
+    }
+    SECTION("does not end by the time alone")
+    {
+        CHECK_FALSE(isOpen(5.0, 20s, Ready + 20s));
+    }
+}
+
 TEST_CASE("Most of a limit is used wherever the requests come in")
 {
     for (const std::size_t vmsEach : {2U, 26U}) {
