Let time in a test of peers pass no more slowly than real time

Cause, in the test: it moves the paused clock by 1 ms for each yield. On this kernel a yield beside busy processes takes the rest of their slices, so the 10 s of paused time that the link waits for took over 30 s of real time. Ruled out: a fault of the link: the time that it waits is in paused time, and its checks, every 100 ms of real time, are all made. Change: the clock moves by 1 ms or by the real time since the last step, whichever is more. What is checked and the 30 s are as before.

--- a/test/unit/peerduty_test.cpp
+++ b/test/unit/peerduty_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <functional>
@@ -172,8 +173,13 @@
                        [](const VmId &) {}, [](LinkId) {}, [](ExchangeId) {}});
         duty.start();
         FakeVm vm({asio::ip::make_address(address.ip), address.port});
-        const auto passTime = [&clock] {
-            clock.advance(milliseconds(1));
+        // Beside load a yield takes long, and the timers of the VM wake by real time: so time passes
+        // no more slowly than that.
+        auto passedAt = std::chrono::steady_clock::now();
+        const auto passTime = [&clock, &passedAt] {
+            const auto now = std::chrono::steady_clock::now();
+            clock.advance(std::max<Clock::duration>(milliseconds(1), now - passedAt));
+            passedAt = now;
             std::this_thread::yield();
         };
         const std::string longestFrame{'\0', '\0', '\x80', '\0'};
