--- a/test/unit/peerduty_test.cpp
+++ b/test/unit/peerduty_test.cpp
@@ -173,8 +173,8 @@
                        [](const VmId &) {}, [](LinkId) {}, [](ExchangeId) {}});
         duty.start();
         FakeVm vm({asio::ip::make_address(address.ip), address.port});
-        // Beside load a yield takes long, and the timers of the VM wake by real time: so time passes
-        // no more slowly than that.
+        // Beside load a yield takes long, and the timers of the VM wake by real time: so time
+        // passes no more slowly than that.
         auto passedAt = std::chrono::steady_clock::now();
         const auto passTime = [&clock, &passedAt] {
             const auto now = std::chrono::steady_clock::now();
