Send the state of the store from VM to VM in a tree

Cause: each VM that is no watcher of the store follows the first of the three watchers of its domain: pick() takes the first of the sources that has not failed, and all VMs rank them alike. Evidence: the new test of SourcePicker counts who follows whom: 57 of 60 VMs, 97 of 100, 538 of 541 followed one VM. A configuration then leaves one link 57 times. Starting VMs, too, all asked the same VM first (60 of 60). Change: below the watchers the VMs of a domain form a tree in the order of the hash, four below each. A contact with the store is passed on at once, not after the wait of each VM on the way, so that state stays fresh at any depth; a contact that is hardly newer is not, or VMs that follow each other in a circle would keep it fresh among themselves. A VM whose parent fails turns to the watchers that its parent does not depend on. A starting VM asks up to eight VMs, each in its own order, its own domain first. Ruled out: a state that waits its turn at each VM: at a depth of three it is older than the 1.8 s for which state is fresh. Tests: SourcePicker at 4 to 541 VMs (failed before as above); the model of following VMs at 95, 300 and 539 VMs, in calm, with changes, with a tenth of the VMs frozen each second: in time everywhere (5 s), and at most what four followers need is sent by any VM. A test of cut watches had its sections in a loop, of which only the first round ran; it is played for each shape now.

--- a/include/mangoshift/sourcepicker.h
+++ b/include/mangoshift/sourcepicker.h
@@ -32,9 +32,10 @@
 /// Decides where a VM requests the state of the store: from the store, or from another VM.
 ///
 /// In each failure domain the first few VMs by rendezvous hash watch the store, so that the store's
-/// load does not grow with the fleet. The other VMs send their requests to these watchers, and to
-/// the store only if no watcher replies with fresh state. A VM that gets fresh state
-/// neither there nor from the store uses the watchers of the other domains. A watcher tries a store
+/// load does not grow with the fleet. The other VMs form a tree below these watchers, in the order
+/// of the hash, so that each VM serves a few others however large the domain is. A VM whose parent
+/// does not reply with fresh state uses the watchers, first those that its parent does not depend
+/// on, then the store, then the watchers of the other domains. A watcher tries a store
 /// that has failed once more before it uses other VMs, because a watch may be cut while the store
 /// is sound, and leaves a failing store alone for longer only if it still serves other VMs. A
 /// starting VM uses VMs that have already started, so that it can serve even while the store is
@@ -68,6 +69,7 @@
     /// store has not failed, or if this VM is not a watcher.
     std::optional<Clock::time_point> storeRetryAt() const;
 
+    const Member &self() const { return m_self; }
     /// Returns whether this VM is one of the watchers of its failure domain.
     bool isWatcher() const;
     /// Returns whether any VM of this VM's failure domain is not a watcher.
@@ -80,6 +82,8 @@
     /// Returns the sources that a VM without state uses before any others.
     std::vector<StoreSource> initialSources(Clock::time_point now) const;
     std::vector<const Member *> rankedDomainMembers(const std::string &domain) const;
+    /// Returns the sources in this VM's failure domain, but for the store.
+    std::vector<StoreSource> domainSources() const;
     std::vector<StoreSource> sources(Clock::time_point now) const;
     Clock::time_point avoidedUntil(const StoreSource &source) const;
     /// Returns whether the source has failed since the last success.
--- a/include/mangoshift/statefollower.h
+++ b/include/mangoshift/statefollower.h
@@ -56,12 +56,14 @@
 class StateFollower
 {
 public:
-    /// How long a pull of state waits for a change, and a watch of the store if other VMs follow
-    /// this one.
+    /// How long a watch of the store waits for a change if other VMs follow this one.
     static constexpr std::chrono::milliseconds FollowerWait{1000};
-    /// The age from which a VM's state is stale and another source is used: the wait of a pull, the
-    /// half second that a watcher waits after changes before its next watch, and the response time
-    /// of a slow store.
+    /// How long a pull of state waits for a change, or for the next contact that the other VM has
+    /// with the store: a little more than `FollowerWait`.
+    static constexpr std::chrono::milliseconds PullWait{1200};
+    /// The age from which a VM's state is stale and another source is used: the wait of a watch,
+    /// the half second that a watcher waits after changes before its next watch, the response time
+    /// of a slow store, and what the replies of one VM to the next take.
     static constexpr std::chrono::milliseconds MaxStateAge{1800};
 
     /// `watchWait` is how long a watch of the store waits for a change if no VM follows this one.
@@ -106,6 +108,12 @@
     bool isListing() const { return m_store.isListing(); }
     /// Returns the source of the fetch in flight; no value if there is none.
     const std::optional<StoreSource> &source() const { return m_source; }
+    /// Returns whether the VMs that wait for a reply of this VM should get one now although nothing
+    /// has changed: this VM's state has become a good deal newer since the last call that returned
+    /// true. So the contact of a watcher with the store reaches each VM after a few replies, and
+    /// not after the waits of all VMs on the way. VMs that follow each other in a circle, as may
+    /// happen while they do not agree on who is alive, do not keep each other's state fresh.
+    bool takeNewContact();
     bool isStoreUnavailable() const { return m_store.isStoreUnavailable(); }
     bool isWatcher() const { return m_picker.isWatcher(); }
 
@@ -122,6 +130,10 @@
     /// Whether the fetch in flight continues with the next page of a listing.
     bool m_continuesListing = false;
     std::optional<StoreSource> m_source;
+    /// The last contact with the store, of this VM or of the one that its state came from, and the
+    /// one that was passed on last.
+    Clock::time_point m_contactAt{};
+    Clock::time_point m_relayedContactAt{};
     /// When the next fetch is due after a response with changes.
     Clock::time_point m_nextAt{};
 };
--- a/src/core/sourcepicker.cpp
+++ b/src/core/sourcepicker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "mangoshift/placement.h"
@@ -13,6 +14,10 @@
 /// The number of store watchers in each failure domain. Two may be lost within the second that it
 /// takes to detect a loss.
 constexpr std::size_t StoreWatchersPerDomain = 3;
+/// The number of VMs to which one VM serves the state while no other has failed.
+constexpr std::size_t FollowersPerVm = 4;
+/// The number of other VMs that a VM without state tries before the usual sources.
+constexpr std::size_t MaxInitialSources = 8;
 /// How long a starting VM uses only other VMs as sources: the 0.3 s within which all VMs of a fleet
 /// start.
 constexpr std::chrono::milliseconds JoinDuration{300};
@@ -80,13 +85,51 @@
     return rankedDomainMembers(m_self.failureDomain).size() > StoreWatchersPerDomain;
 }
 
+std::vector<StoreSource> SourcePicker::domainSources() const
+{
+    const std::vector<const Member *> ranked = rankedDomainMembers(m_self.failureDomain);
+    const std::size_t watchers = std::min(StoreWatchersPerDomain, ranked.size());
+    const auto self = std::find_if(ranked.begin(), ranked.end(),
+                                   [this](const Member *each) { return each->vm == m_self.vm; });
+    const auto rank = static_cast<std::size_t>(self - ranked.begin());
+    const auto parentOf = [](std::size_t child) {
+        return (child - StoreWatchersPerDomain) / FollowersPerVm;
+    };
+    std::vector<StoreSource> sources;
+    const auto add = [&](std::size_t index) {
+        const StoreSource source = FromPeer{ranked[index]->vm};
+        if (index != rank && std::find(sources.begin(), sources.end(), source) == sources.end())
+            sources.push_back(source);
+    };
+    std::size_t root = rank;
+    if (rank >= StoreWatchersPerDomain && self != ranked.end())
+        add(parentOf(rank));
+    while (root >= StoreWatchersPerDomain)
+        root = parentOf(root);
+    // The watcher that the parent depends on comes last. The VMs below it turn to different ones.
+    for (std::size_t i = 0; i + 1 < watchers; ++i)
+        add((root + 1 + (rank + i) % (watchers - 1)) % watchers);
+    if (root < watchers)
+        add(root);
+    return sources;
+}
+
 std::vector<StoreSource> SourcePicker::initialSources(Clock::time_point now) const
 {
+    // Those of the own domain first, in an order that differs from VM to VM.
+    const ShardKey key = shardKey("first-state", m_self.vm);
+    std::vector<std::tuple<bool, std::uint64_t, const Member *>> ranked;
+    ranked.reserve(m_members->members.size());
+    for (const Member &member : m_members->members)
+        if (member.vm != m_self.vm)
+            ranked.emplace_back(member.failureDomain != m_self.failureDomain,
+                                rendezvousWeight(key, member.vm), &member);
+    std::sort(ranked.begin(), ranked.end());
     std::vector<StoreSource> first;
     const auto add = [&](auto isWanted) {
-        for (const Member &member : m_members->members)
-            if (member.vm != m_self.vm && isWanted(member))
-                first.emplace_back(FromPeer{member.vm});
+        for (const auto &[isFar, weight, member] : ranked)
+            if (first.size() < MaxInitialSources && isWanted(*member))
+                first.emplace_back(FromPeer{member->vm});
     };
     // A VM that has started can supply its state immediately. The store may be unavailable, and
     // replies in many pages.
@@ -108,13 +151,13 @@
     const auto addWatchers = [&](const std::string &domain) {
         const std::vector<const Member *> ranked = rankedDomainMembers(domain);
         for (std::size_t i = 0; i < std::min(StoreWatchersPerDomain, ranked.size()); ++i)
-            if (ranked[i]->vm != m_self.vm)
-                sources.emplace_back(FromPeer{ranked[i]->vm});
+            sources.emplace_back(FromPeer{ranked[i]->vm});
     };
     const bool usesStoreFirst = isWatcher() || (!m_hasState && isSeed(m_self));
     if (usesStoreFirst)
         sources.emplace_back(FromStore{});
-    addWatchers(m_self.failureDomain);
+    for (StoreSource &source : domainSources())
+        sources.push_back(std::move(source));
     if (!usesStoreFirst)
         sources.emplace_back(FromStore{});
     std::set<std::string> others;
--- a/src/core/statefollower.cpp
+++ b/src/core/statefollower.cpp
@@ -16,7 +16,10 @@
 constexpr milliseconds WatchSlack{700};
 /// How much longer than its wait a pull may take, to allow for a VM that runs several times slower
 /// than usual.
-constexpr milliseconds PeerReplySlack{600};
+constexpr milliseconds PeerReplySlack{500};
+/// How much newer the contact with the store must be to be passed on by itself. Well above what
+/// replies take, so that it does not go round in a circle of VMs.
+constexpr milliseconds MinContactStep{300};
 /// How long a VM without state waits for one reply: several times what a listing of the store
 /// takes, as the other VM may have just begun one.
 constexpr milliseconds FirstReplyTimeout{300};
@@ -58,12 +61,12 @@
 PullFromPeer StateFollower::pullFrom(const VmId &vm, Clock::time_point now) const
 {
     if (!m_hasState)
-        return {vm, 0, FollowerWait, FirstReplyTimeout};
-    milliseconds wait = FollowerWait;
+        return {vm, 0, PullWait, FirstReplyTimeout};
+    milliseconds wait = PullWait;
     // A pull must not delay the next attempt to reach the store.
     if (const auto retryAt = m_picker.storeRetryAt())
         wait = std::clamp(std::chrono::duration_cast<milliseconds>(*retryAt - now), milliseconds(0),
-                          FollowerWait);
+                          PullWait);
     return {vm, revision(), wait, wait + PeerReplySlack};
 }
 
@@ -81,6 +84,7 @@
 void StateFollower::onStoreStep(const StoreStep &step, Clock::time_point now)
 {
     m_picker.onSourceSucceeded(FromStore{}, now, now);
+    m_contactAt = now;
     m_continuesListing = std::holds_alternative<ReadPage>(step);
     if (m_continuesListing)
         return;
@@ -126,6 +130,7 @@
     use.shouldApply = revision != 0 && (!m_hasState || revision >= this->revision());
     use.isFresh = revision != 0 && now - contactAt < MaxStateAge;
     if (use.shouldApply) {
+        m_contactAt = std::max(m_contactAt, contactAt);
         m_store.skipTo(revision);
         if (!std::exchange(m_hasState, true))
             m_picker.setHasState();
@@ -139,6 +144,14 @@
     return use;
 }
 
+bool StateFollower::takeNewContact()
+{
+    if (!m_hasState || m_contactAt < m_relayedContactAt + MinContactStep)
+        return false;
+    m_relayedContactAt = m_contactAt;
+    return true;
+}
+
 void StateFollower::onPeerFailure(Clock::time_point now)
 {
     m_picker.onSourceFailed(*m_source, now + PeerBackoff, now);
--- a/src/entry/pendingstatepulls.cpp
+++ b/src/entry/pendingstatepulls.cpp
@@ -40,6 +40,12 @@
     std::erase_if(m_pulls, canReply);
 }
 
+void PendingStatePulls::replyToAll()
+{
+    for (const PendingStatePull &pull : std::exchange(m_pulls, {}))
+        m_reply(pull);
+}
+
 void PendingStatePulls::onLinkLost(LinkId link)
 {
     std::erase_if(m_pulls, [link](const PendingStatePull &each) { return each.link == link; });
--- a/src/entry/pendingstatepulls.h
+++ b/src/entry/pendingstatepulls.h
@@ -20,8 +20,8 @@
     Clock::time_point replyBy;
 };
 
-/// Holds the state pulls of other VMs until the state changes or their wait ends. The owner sends
-/// the replies. Belongs to the owner's thread.
+/// Holds the state pulls of other VMs until the state changes, is known to hold still, or their
+/// wait ends. The owner sends the replies. Belongs to the owner's thread.
 class PendingStatePulls
 {
 public:
@@ -33,6 +33,8 @@
     void add(const PendingStatePull &pull);
     /// Replies to all pulls of VMs that know less than `state`.
     void onState(const KnownState &state);
+    /// Replies to all pulls, as the state is known to hold still.
+    void replyToAll();
     void onLinkLost(LinkId link);
     std::size_t size() const { return m_pulls.size(); }
 
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -18,7 +18,7 @@
 void RegistryDuty::onFrame(ControlFrame &message)
 {
     if (const wire::StatePullT *pull = message.frame->body.AsStatePull()) {
-        const auto wait = std::min(milliseconds(pull->wait_ms), StateFollower::FollowerWait);
+        const auto wait = std::min(milliseconds(pull->wait_ms), StateFollower::PullWait);
         const Clock::time_point now = Clock::now();
         // A VM of an earlier release is sent the configuration whenever it gets a newer revision.
         const KnownState state = knownState();
@@ -148,7 +148,11 @@
 
 void RegistryDuty::replyToPulls()
 {
-    if (m_storeView.hasState())
+    if (!m_storeView.hasState())
+        return;
+    if (m_follower.takeNewContact())
+        m_pendingPulls.replyToAll();
+    else
         m_pendingPulls.onState(knownState());
 }
 
--- a/test/unit/followingfleet.h
+++ b/test/unit/followingfleet.h
@@ -280,6 +280,14 @@
         m_vms.at(vm)->frozenUntil = m_simulation.now() + time;
     }
     Clock::time_point frozenUntil(const VmId &vm) const { return m_vms.at(vm)->frozenUntil; }
+    /// Returns how many replies with state the VM that sent the most has sent.
+    std::uint64_t mostReplies() const
+    {
+        std::uint64_t most = 0;
+        for (const auto &[id, vm] : m_vms)
+            most = std::max(most, vm->replies);
+        return most;
+    }
     const StateFollower &follower(const VmId &vm) const { return m_vms.at(vm)->follower; }
     const StoreView &view(const VmId &vm) const { return m_vms.at(vm)->view; }
 
@@ -323,6 +331,7 @@
         std::uint64_t wakeUp = 0;
         std::vector<Pull> pulls;
         Clock::time_point frozenUntil{};
+        std::uint64_t replies = 0;
     };
 
     /// Runs `function` at `at`, or when the VM wakes.
@@ -462,10 +471,14 @@
                   [this, &vm] { vm.view.expire(vm.follower.revision(), m_simulation.now()); });
         if (!vm.view.hasState())
             return;
+        const bool hasNewContact = vm.follower.takeNewContact();
         std::vector<Pull> pulls;
         pulls.swap(vm.pulls);
         for (const Pull &pull : pulls)
-            onPull(vm, pull);
+            if (hasNewContact)
+                reply(vm, pull);
+            else
+                onPull(vm, pull);
     }
 
     /// Replies to a pull if there are changes or its time has come, and holds it otherwise.
@@ -493,6 +506,7 @@
     }
     void reply(Vm &vm, const Pull &pull)
     {
+        ++vm.replies;
         const PeerState state =
             vm.view.stateAfter(pull.known, vm.follower.revision(), m_simulation.now());
         Vm &puller = *m_vms.at(pull.from);
--- a/test/unit/sourcepicker_test.cpp
+++ b/test/unit/sourcepicker_test.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +73,71 @@
     }
 }
 
+// Guards against one VM that serves the state to all others of a large failure domain.
+TEST_CASE("A VM serves the state to a few others, however large its failure domain is")
+{
+    constexpr int maxFollowers = 4;
+    for (const int vms : {4, 10, 20, 60, 100, 541}) {
+        CAPTURE(vms);
+        std::map<VmId, VmId> sources;
+        std::map<VmId, int> followers;
+        for (const SourcePicker &picker : pickersOf(fleetOf(vms, "a"))) {
+            const auto source = picker.pick(Start);
+            REQUIRE(source);
+            if (const auto *peer = std::get_if<FromPeer>(&*source)) {
+                sources[picker.self().vm] = peer->vm;
+                ++followers[peer->vm];
+            }
+        }
+        CHECK(sources.size() == static_cast<std::size_t>(vms - 3));
+        for (const auto &[vm, count] : followers)
+            CHECK(count <= maxFollowers);
+        for (const auto &[vm, source] : sources) {
+            int steps = 1;
+            for (VmId from = source; sources.contains(from); from = sources[from])
+                REQUIRE(++steps <= 4);
+        }
+    }
+}
+
+TEST_CASE("The VMs that follow a watcher which fails turn to both of the others")
+{
+    const MemberViewPtr view = fleetOf(60, "a");
+    std::vector<SourcePicker> pickers = pickersOf(view);
+    std::map<VmId, std::vector<SourcePicker *>> byWatcher;
+    for (SourcePicker &picker : pickers)
+        if (const auto source = picker.pick(Start); !isStore(source))
+            byWatcher[std::get<FromPeer>(*source).vm].push_back(&picker);
+    for (auto &[vm, followers] : byWatcher) {
+        const auto watcher = std::find_if(pickers.begin(), pickers.end(), [&vm = vm](auto &each) {
+            return each.self().vm == vm && each.isWatcher();
+        });
+        if (watcher == pickers.end())
+            continue;
+        std::set<VmId> next;
+        for (SourcePicker *picker : followers) {
+            picker->onSourceFailed(FromPeer{vm}, Start + seconds(2), Start);
+            const auto source = picker->pick(Start);
+            REQUIRE_FALSE(isStore(source));
+            next.insert(std::get<FromPeer>(*source).vm);
+        }
+        CHECK(next.size() == 2);
+    }
+}
+
+TEST_CASE("VMs that start together are not all sent the state by the same VM")
+{
+    const MemberViewPtr view = fleetOf(60, "a");
+    std::map<VmId, int> followers;
+    for (int i = 0; i < 60; ++i) {
+        SourcePicker picker(memberOf("a-new-" + std::to_string(i), "a", true), Seeds, Start);
+        picker.setMembers(view);
+        ++followers[std::get<FromPeer>(*picker.pick(Start)).vm];
+    }
+    for (const auto &[vm, count] : followers)
+        CHECK(count <= 8);
+}
+
 TEST_CASE("A VM that does not watch the store")
 {
     const MemberViewPtr view = fleetOf(10, "a");
--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -18,6 +18,8 @@
 /// earlier state, and how long after the end of a fault that harms the store.
 constexpr milliseconds ChangeBound{3000};
 constexpr milliseconds RecoveryBound{4000};
+/// The former in their deployments of 60 VMs and more.
+constexpr milliseconds LargeChangeBound{5000};
 
 /// How long targets whose entries expired in an outage have to write them again.
 constexpr milliseconds RemovalGrace{2300};
@@ -85,7 +87,7 @@
         for (const VmId &vm : fleet->vms()) {
             const Clock::time_point calm = std::max(calmFrom, fleet->frozenUntil(vm));
             const auto isDue = [&](Clock::time_point changedAt, milliseconds grace = 0ms) {
-                return now > changedAt + ChangeBound + grace && now > calm + RecoveryBound + grace;
+                return now > changedAt + changeBound + grace && now > calm + RecoveryBound + grace;
             };
             for (const auto &[id, entry] : store.entries()) {
                 if (entry.changedAt < changedFrom)
@@ -123,6 +125,7 @@
     SimulatedStore store{simulation, random};
     std::optional<FollowingFleet> fleet;
     Clock::time_point changedFrom{};
+    milliseconds changeBound = ChangeBound;
     /// The end of the last fault that harmed the store.
     Clock::time_point calmFrom{};
 };
@@ -170,7 +173,9 @@
 // instead of the store, and then held removals back.
 TEST_CASE("Removed targets are not used for long although the store cuts its watches")
 {
-    for (const auto &shape : Shapes) {
+    // Not a loop, as sections in a loop run in its first round only.
+    const auto shape = GENERATE(from_range(Shapes));
+    {
         Deployment deployment(1, shape);
         SECTION("once, just before a removal")
         {
@@ -194,6 +199,60 @@
     }
 }
 
+// Guards against one VM of a large failure domain that all others depend on, and against state that
+// grows stale on its way over several VMs.
+TEST_CASE("In a large fleet changes reach each VM, and no VM sends the state to many others")
+{
+    struct Size
+    {
+        std::size_t domains;
+        std::size_t vmsEach;
+    };
+    const Size size = GENERATE(Size{5, 19}, Size{5, 60}, Size{7, 77});
+    const auto seed = GENERATE(range<std::uint64_t>(1, 3));
+    CAPTURE(size.domains, size.vmsEach, seed);
+    std::vector<std::string> shape;
+    for (std::size_t i = 0; i < size.domains * size.vmsEach; ++i)
+        shape.push_back("domain" + std::to_string(i % size.domains));
+    Deployment deployment(seed, shape);
+    deployment.changeBound = LargeChangeBound;
+    SimulatedStore &store = deployment.store;
+    const std::uint64_t repliesBefore = deployment.fleet->mostReplies();
+
+    SECTION("while nothing changes")
+    {
+        CHECK(deployment.runAndCheck(10s) == NoFault);
+        for (const VmId &vm : deployment.fleet->vms())
+            REQUIRE(deployment.simulation.now() - deployment.fleet->view(vm).lastContact()
+                    < StateFollower::MaxStateAge);
+        // Four VMs follow it, each of which is sent something once a second.
+        CHECK(deployment.fleet->mostReplies() - repliesBefore <= 4 * 10 + 8);
+    }
+    SECTION("while the configuration and targets change")
+    {
+        for (int i = 0; i < 10; ++i) {
+            store.publish();
+            store.put(targetOf(i, true));
+            REQUIRE(deployment.runAndCheck(700ms) == NoFault);
+            store.remove(targetOf(i).id);
+            REQUIRE(deployment.runAndCheck(700ms) == NoFault);
+        }
+        CHECK(deployment.runAndCheck(5s) == NoFault);
+        CHECK(deployment.fleet->mostReplies() - repliesBefore <= 4 * 19 * 2);
+    }
+    SECTION("while VMs freeze, watchers among them")
+    {
+        for (int i = 0; i < 10; ++i) {
+            for (std::size_t n = 0; n < shape.size() / 10; ++n)
+                deployment.fleet->freeze("vm" + std::to_string(deployment.random() % shape.size()),
+                                         200ms + deployment.upTo(3000ms));
+            store.publish();
+            REQUIRE(deployment.runAndCheck(1s) == NoFault);
+        }
+        CHECK(deployment.runAndCheck(6s) == NoFault);
+    }
+}
+
 TEST_CASE("VMs that follow a store are up to date in time, whatever harms it")
 {
     using Mode = SimulatedStore::Mode;
