Start with stale state only if no other VM has fresher state

Callers' view: a VM that was started again could send requests to targets that had left, and use a configuration that had been replaced: it took the state of the first VM that replied, also of one that had been cut off from the store for long, and served with it until its next fetch. Evidence: the new test of StateFollower; before, stale state at revision 100 was applied while two other VMs had not been asked (5 checks failed). Change: a VM without state applies stale state only when each VM that it asks first has failed or was stale too. In an outage of the store it still starts with what the others have. Ruled out: to wait for fresh state for a fixed time: an outage would delay each start by it.

--- a/include/mangoshift/sourcepicker.h
+++ b/include/mangoshift/sourcepicker.h
@@ -65,6 +65,9 @@
     /// again before `retryAt`.
     void onSourceFailed(const StoreSource &source, Clock::time_point retryAt,
                         Clock::time_point now);
+    /// Returns whether this VM has no state yet and there is a VM that may send it state and has
+    /// not failed.
+    bool hasUntriedPeer(Clock::time_point now) const;
     /// Returns when a watcher whose store has failed is to try the store again; no value if the
     /// store has not failed, or if this VM is not a watcher.
     std::optional<Clock::time_point> storeRetryAt() const;
--- a/include/mangoshift/statefollower.h
+++ b/include/mangoshift/statefollower.h
@@ -89,7 +89,8 @@
     /// Handles a request to the store that failed, was refused or got no response in time.
     void onStoreFailure(Clock::time_point now);
     /// Handles the state of another VM at `revision`, zero if it has none. That VM had its last
-    /// contact with the store at `contactAt`.
+    /// contact with the store at `contactAt`. A VM without state takes stale state only if no other
+    /// VM may have fresh state: what has left since must not be used again after a start.
     PeerStateUse onPeerState(std::uint64_t revision, Clock::time_point contactAt,
                              Clock::time_point now);
     /// Handles a pull that got no reply in time or whose VM was lost.
--- a/src/core/sourcepicker.cpp
+++ b/src/core/sourcepicker.cpp
@@ -196,6 +196,15 @@
     return fallback;
 }
 
+bool SourcePicker::hasUntriedPeer(Clock::time_point now) const
+{
+    if (m_hasState)
+        return false;
+    const std::vector<StoreSource> peers = initialSources(now);
+    return std::any_of(peers.begin(), peers.end(),
+                       [this](const StoreSource &each) { return !hasFailed(each); });
+}
+
 bool SourcePicker::isRecheckingStore() const
 {
     return m_hasState && m_storeFailures == 1 && !m_doesStoreServeOthers && isWatcher();
--- a/src/core/statefollower.cpp
+++ b/src/core/statefollower.cpp
@@ -127,20 +127,22 @@
                                         Clock::time_point now)
 {
     PeerStateUse use;
-    use.shouldApply = revision != 0 && (!m_hasState || revision >= this->revision());
     use.isFresh = revision != 0 && now - contactAt < MaxStateAge;
-    if (use.shouldApply) {
-        m_contactAt = std::max(m_contactAt, contactAt);
-        m_store.skipTo(revision);
-        if (!std::exchange(m_hasState, true))
-            m_picker.setHasState();
-    }
     if (use.isFresh) {
         m_picker.onSourceSucceeded(*m_source, contactAt, now);
         m_source.reset();
     } else {
         onPeerFailure(now);
     }
+    use.shouldApply = revision != 0
+        && (m_hasState ? revision >= this->revision()
+                       : use.isFresh || !m_picker.hasUntriedPeer(now));
+    if (use.shouldApply) {
+        m_contactAt = std::max(m_contactAt, contactAt);
+        m_store.skipTo(revision);
+        if (!std::exchange(m_hasState, true))
+            m_picker.setHasState();
+    }
     return use;
 }
 
--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -1,5 +1,6 @@
 #include <cstdlib>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -199,6 +200,64 @@
     }
 }
 
+// Guards against a VM that starts and takes over, from a VM that was cut off from the store,
+// targets that have left and configurations that were replaced.
+TEST_CASE("A VM without state of its own")
+{
+    const Clock::time_point start{1000s};
+    auto view = std::make_shared<MemberView>();
+    for (const char *vm : {"a", "b", "c"})
+        view->members.push_back({vm, "domain", "region", std::string("at-") + vm, 1});
+    const Member self{"self", "domain", "region", "at-self", 1, false, true};
+    StateFollower follower(self, {}, 5s, start);
+    follower.setMembers(view);
+    const auto pulledVm = [&follower, start] {
+        const auto fetch = follower.next(start);
+        REQUIRE(fetch);
+        REQUIRE(std::holds_alternative<PullFromPeer>(*fetch));
+        return std::get<PullFromPeer>(*fetch).vm;
+    };
+    const auto stale = start - StateFollower::MaxStateAge;
+    std::set<VmId> asked{pulledVm()};
+
+    SECTION("does not use stale state while there are VMs that may have fresh state")
+    {
+        CHECK_FALSE(follower.onPeerState(100, stale, start).shouldApply);
+        CHECK_FALSE(follower.hasState());
+        asked.insert(pulledVm());
+        CHECK(asked.size() == 2);
+        CHECK(follower.onPeerState(120, start - 100ms, start).shouldApply);
+        CHECK(follower.revision() == 120);
+    }
+    SECTION("uses stale state if no VM has fresher state, as in an outage of the store")
+    {
+        CHECK_FALSE(follower.onPeerState(100, stale, start).shouldApply);
+        asked.insert(pulledVm());
+        CHECK_FALSE(follower.onPeerState(100, stale, start).shouldApply);
+        asked.insert(pulledVm());
+        CHECK(asked.size() == 3);
+        CHECK(follower.onPeerState(100, stale, start).shouldApply);
+        CHECK(follower.hasState());
+    }
+    SECTION("uses stale state if the other VMs do not reply")
+    {
+        CHECK_FALSE(follower.onPeerState(100, stale, start).shouldApply);
+        pulledVm();
+        follower.onPeerFailure(start);
+        pulledVm();
+        follower.onPeerFailure(start);
+        // The others are not asked again yet, and the store does not respond.
+        auto fetch = follower.next(start + 300ms);
+        REQUIRE(fetch);
+        REQUIRE(std::holds_alternative<ListStore>(*fetch));
+        follower.onStoreFailure(start + 1800ms);
+        fetch = follower.next(start + 2100ms);
+        REQUIRE(fetch);
+        REQUIRE(std::holds_alternative<PullFromPeer>(*fetch));
+        CHECK(follower.onPeerState(100, stale, start + 2100ms).shouldApply);
+    }
+}
+
 // Guards against one VM of a large failure domain that all others depend on, and against state that
 // grows stale on its way over several VMs.
 TEST_CASE("In a large fleet changes reach each VM, and no VM sends the state to many others")
