Contain an unexpected error in the message that caused it

Callers' view: one malformed message could end a whole process. Cause: an exception that was let out on a duty's thread ended the process, as nothing caught it there. One way to it: a VM name that is not UTF-8, in the Hello of any program that connects to the port for peers, and then a state dump: the JSON library throws for such text (in the same way for the id of a request, which a problem repeats). Evidence: both new tests ended the test program with SIGABRT before: a handler that throws (duty_test), and such a Hello with a state dump (peerduty_test). Change: a duty catches exceptions, for each message of its ring and for each function of its event loop, logs duty_error and goes on. Texts for operators and callers replace bytes that are not UTF-8. Ruled out: to reject such names: other texts come from outside too.

--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
+
 namespace mangoshift {
 
 namespace {
@@ -342,14 +344,13 @@
 
 std::string toJson(const Explanation &explanation)
 {
-    return nlohmann::json{{"vm", explanation.vm},
-                          {"time", explanation.endEvent.time},
-                          {"event", explanation.endEvent.event},
-                          {"fields", explanation.endEvent.fields},
-                          {"steps", explanation.steps},
-                          {"background", explanation.background},
-                          {"cause", explanation.cause}}
-        .dump();
+    return jsonText(nlohmann::json{{"vm", explanation.vm},
+                                   {"time", explanation.endEvent.time},
+                                   {"event", explanation.endEvent.event},
+                                   {"fields", explanation.endEvent.fields},
+                                   {"steps", explanation.steps},
+                                   {"background", explanation.background},
+                                   {"cause", explanation.cause}});
 }
 
 } // namespace mangoshift
--- a/src/base/duty.h
+++ b/src/base/duty.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <exception>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -17,6 +18,7 @@
 #include <asio/post.hpp>
 
 #include "base/boundedring.h"
+#include "base/log.h"
 
 namespace mangoshift {
 
@@ -37,6 +39,11 @@
 ///
 /// A message that would be missed for good if it were lost, such as a new configuration, is posted
 /// with `postLatest`; every other message with `tryPost`, whose sender must cope with a full ring.
+///
+/// An exception that a handler lets out, or another function that runs on the event loop, is logged
+/// as `duty_error` and counted. It ends only that function: one message that no one expected does
+/// not take the process down. A function that is to run again must arrange that before it does
+/// what may fail.
 template <typename Message>
 class Duty
 {
@@ -56,7 +63,7 @@
     void start(Handler handler)
     {
         m_handler = std::move(handler);
-        m_thread = std::thread([this] { m_io.run(); });
+        m_thread = std::thread([this] { run(); });
     }
 
     /// Stops the event loop and joins the thread. Messages still in the ring are dropped.
@@ -119,10 +126,29 @@
     std::size_t ringCapacity() const { return m_ring.capacity(); }
     /// Returns the number of messages that were rejected because the ring was full.
     std::size_t rejected() const { return m_rejected; }
+    /// Returns the number of exceptions that were let out on the duty's thread.
+    std::size_t errors() const { return m_errors; }
 
 private:
     using Latest = typename LatestMessages<Message>::Type;
 
+    void run()
+    {
+        // An exception leaves the event loop, which then goes on with the next function.
+        while (!m_io.stopped())
+            guard([this] { m_io.run(); });
+    }
+    template <typename Function>
+    void guard(const Function &function)
+    {
+        try {
+            function();
+        } catch (const std::exception &error) {
+            ++m_errors;
+            logEvent(LogLevel::Error, "duty_error", {{"duty", m_name}, {"what", error.what()}});
+        }
+    }
+
     void handleLatest()
     {
         Latest latest;
@@ -140,7 +166,7 @@
         if (!held)
             return;
         Message message(std::move(*held));
-        m_handler(message);
+        guard([&] { m_handler(message); });
     }
 
     void handleAll()
@@ -150,7 +176,7 @@
         // before it.
         handleLatest();
         for (Message &message : messages)
-            m_handler(message);
+            guard([&] { m_handler(message); });
     }
 
     std::string m_name;
@@ -162,6 +188,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     Handler m_handler;
     std::atomic<std::size_t> m_rejected{0};
+    std::atomic<std::size_t> m_errors{0};
     std::thread m_thread;
 };
 
--- a/src/duties/controlduty.cpp
+++ b/src/duties/controlduty.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "config/vmlist.h"
 
@@ -225,16 +226,16 @@
 
 std::string ControlDuty::stateJson() const
 {
-    return Json{{"ready", isReady()},
-                {"joined", m_hasJoined},
-                {"doubtful", m_members.membership().isViewStale()},
-                {"leaving", m_isLeaving.load()},
-                {"watches_platform", isPlatformWatcher(*m_members.membership().view(), m_self)},
-                {"config", m_config.stateJson()},
-                {"members", m_members.stateJson()},
-                {"ring", m_duty.ringSize()},
-                {"ring_rejected", m_duty.rejected()}}
-        .dump();
+    return jsonText(
+        Json{{"ready", isReady()},
+             {"joined", m_hasJoined},
+             {"doubtful", m_members.membership().isViewStale()},
+             {"leaving", m_isLeaving.load()},
+             {"watches_platform", isPlatformWatcher(*m_members.membership().view(), m_self)},
+             {"config", m_config.stateJson()},
+             {"members", m_members.stateJson()},
+             {"ring", m_duty.ringSize()},
+             {"ring_rejected", m_duty.rejected()}});
 }
 
 } // namespace mangoshift
--- a/src/duties/homedutytargets.cpp
+++ b/src/duties/homedutytargets.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/address.h"
+#include "base/jsontext.h"
 
 namespace mangoshift {
 
@@ -128,17 +129,16 @@
              {"silent_connections", hasPool ? pool->second->silentConnections() : 0}});
     }
     const SchedulerCounters &sent = m_scheduler.counters();
-    return nlohmann::json{{"targets", std::move(targets)},
-                          {"waiting", m_scheduler.waitingRequests()},
-                          {"in_flight", m_scheduler.callsInFlight()},
-                          {"first_copies", sent.firstCopies},
-                          {"hedges", sent.hedges},
-                          {"retries", sent.retries},
-                          {"probes", sent.probes},
-                          {"refused", sent.refused},
-                          {"ring", m_duty.ringSize()},
-                          {"ring_rejected", m_duty.rejected()}}
-        .dump();
+    return jsonText(nlohmann::json{{"targets", std::move(targets)},
+                                   {"waiting", m_scheduler.waitingRequests()},
+                                   {"in_flight", m_scheduler.callsInFlight()},
+                                   {"first_copies", sent.firstCopies},
+                                   {"hedges", sent.hedges},
+                                   {"retries", sent.retries},
+                                   {"probes", sent.probes},
+                                   {"refused", sent.refused},
+                                   {"ring", m_duty.ringSize()},
+                                   {"ring_rejected", m_duty.rejected()}});
 }
 
 } // namespace mangoshift
--- a/src/duties/peerduty.cpp
+++ b/src/duties/peerduty.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "duties/peerlink.h"
 #include "duties/wiretime.h"
@@ -247,11 +248,10 @@
         links.push_back({{"peer", link->vm()},
                          {"dialled", link->isDialled()},
                          {"queued_bytes", link->queuedBytes()}});
-    return nlohmann::json{{"links", std::move(links)},
-                          {"accept_failures", m_acceptLoop.failures()},
-                          {"ring", m_duty.ringSize()},
-                          {"ring_rejected", m_duty.rejected()}}
-        .dump();
+    return jsonText(nlohmann::json{{"links", std::move(links)},
+                                   {"accept_failures", m_acceptLoop.failures()},
+                                   {"ring", m_duty.ringSize()},
+                                   {"ring_rejected", m_duty.rejected()}});
 }
 
 } // namespace mangoshift
--- a/src/duties/queryduty.cpp
+++ b/src/duties/queryduty.cpp
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "duties/wiretime.h"
 
 namespace mangoshift {
@@ -263,16 +264,15 @@
 
 std::string QueryDuty::stateJson() const
 {
-    return nlohmann::json{{"running", m_queries.size()},
-                          {"answered", m_answeredQueries},
-                          {"complete", m_completeQueries},
-                          {"plans_made", m_plans.plansMade()},
-                          {"suspect_homes", m_root.homes().suspectCount()},
-                          {"home_suspicions", m_root.homes().suspicions()},
-                          {"extra_tokens", m_root.extraTokens()},
-                          {"ring", m_duty.ringSize()},
-                          {"ring_rejected", m_duty.rejected()}}
-        .dump();
+    return jsonText(nlohmann::json{{"running", m_queries.size()},
+                                   {"answered", m_answeredQueries},
+                                   {"complete", m_completeQueries},
+                                   {"plans_made", m_plans.plansMade()},
+                                   {"suspect_homes", m_root.homes().suspectCount()},
+                                   {"home_suspicions", m_root.homes().suspicions()},
+                                   {"extra_tokens", m_root.extraTokens()},
+                                   {"ring", m_duty.ringSize()},
+                                   {"ring_rejected", m_duty.rejected()}});
 }
 
 } // namespace mangoshift
--- a/src/duties/submitroutes.cpp
+++ b/src/duties/submitroutes.cpp
@@ -7,6 +7,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "duties/callerpool.h"
 #include "duties/callerserver.h"
@@ -182,7 +183,7 @@
     const nlohmann::json answer{{"service", received.serviceName},
                                 {"expires_in_ms", m_tickets.ticketLifetime().count()},
                                 {"tickets", *issued}};
-    response.set_content(answer.dump() + "\n", JsonType);
+    response.set_content(jsonText(answer) + "\n", JsonType);
 }
 
 void SubmitRoutes::handleSubmit(const httplib::Request &request, httplib::Response &response)
@@ -257,7 +258,7 @@
     head["request_id"] = request.requestId;
     head["ticket"] = result.ticket;
     head["execution"] = toString(verdict.execution);
-    std::string text = head.dump();
+    std::string text = jsonText(head);
     // The result is inserted verbatim, because parsing and writing it again could change values.
     text.pop_back();
     text += ",\"result\":" + result.outcome.result + "}\n";
--- a/src/duties/ticketduty.cpp
+++ b/src/duties/ticketduty.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "duties/ticketwire.h"
 #include "mangoshift/shardpick.h"
@@ -375,12 +376,14 @@
 
 std::string TicketDuty::stateJson() const
 {
-    return nlohmann::json{
-        {"tickets", m_ledger.tickets()},  {"max_tickets", m_limits.maxTickets},
-        {"used", m_ledger.usedTickets()}, {"result_bytes", m_ledger.resultBytes()},
-        {"running", m_running.size()},    {"forwarded", m_forwards.size()},
-        {"ring", m_duty.ringSize()},      {"ring_rejected", m_duty.rejected()}}
-        .dump();
+    return jsonText(nlohmann::json{{"tickets", m_ledger.tickets()},
+                                   {"max_tickets", m_limits.maxTickets},
+                                   {"used", m_ledger.usedTickets()},
+                                   {"result_bytes", m_ledger.resultBytes()},
+                                   {"running", m_running.size()},
+                                   {"forwarded", m_forwards.size()},
+                                   {"ring", m_duty.ringSize()},
+                                   {"ring_rejected", m_duty.rejected()}});
 }
 
 } // namespace mangoshift
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "http/httpstatus.h"
 #include "mangoshift/arrivalcheck.h"
@@ -457,7 +458,7 @@
                  .count()},
             {"part_p50_us", route.partLatencies.quantile(0.5).count()},
             {"part_p90_us", route.partLatencies.quantile(0.9).count()}};
-    return state.dump();
+    return jsonText(state);
 }
 
 } // namespace mangoshift
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
 #include "base/log.h"
 #include "http/httpstatus.h"
 
@@ -372,7 +373,7 @@
     state["limit_pool_owner"] = m_permits.owner();
     if (m_members)
         state["members"] = m_members->stateJson();
-    return state.dump();
+    return jsonText(state);
 }
 
 } // namespace mangoshift
--- a/src/filters/admissiongate.cpp
+++ b/src/filters/admissiongate.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
+
 namespace mangoshift {
 
 AdmissionGate::AdmissionGate(std::size_t capacity, std::uint64_t seed, bool isEnabled)
@@ -55,11 +57,10 @@
                             {"limit", each.limit},
                             {"in_flight", each.inFlight},
                             {"typical_time_us", each.typicalTime.count()}});
-    return nlohmann::json{{"enabled", m_isEnabled},
-                          {"capacity", m_controller.capacity()},
-                          {"in_flight", m_controller.inFlight()},
-                          {"services", std::move(services)}}
-        .dump();
+    return jsonText(nlohmann::json{{"enabled", m_isEnabled},
+                                   {"capacity", m_controller.capacity()},
+                                   {"in_flight", m_controller.inFlight()},
+                                   {"services", std::move(services)}});
 }
 
 } // namespace mangoshift
--- a/src/filters/answerjson.cpp
+++ b/src/filters/answerjson.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/jsontext.h"
+
 namespace mangoshift {
 
 namespace {
@@ -50,7 +52,7 @@
                                    {"reason", toString(each.verdict.reason)},
                                    {"execution", toString(each.verdict.execution)}});
     head["extra_requests"] = answer.extraRequests;
-    std::string text = head.dump();
+    std::string text = jsonText(head);
     // The rows are copied as text: parsing and writing them again could change values.
     text.pop_back();
     text += ",\"rows\":" + joinArrays(answer.rows) + "}\n";
@@ -71,7 +73,7 @@
     if (problem.verdict.retryAfter.count() > 0)
         json["retry_after_ms"] = problem.verdict.retryAfter.count();
     json["request_id"] = requestId;
-    return json.dump() + "\n";
+    return jsonText(json) + "\n";
 }
 
 } // namespace mangoshift
--- a/test/unit/duty_test.cpp
+++ b/test/unit/duty_test.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <future>
+#include <new>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <variant>
@@ -107,6 +109,37 @@
     }
 }
 
+// Guards against an unexpected error in one message that ends the whole process.
+TEST_CASE("A duty whose handler throws for one message handles the others")
+{
+    Duty<Message> duty("test", RingCapacity);
+    std::string handled;
+    std::promise<void> done;
+    for (int i = 0; i < 3; ++i)
+        REQUIRE(duty.tryPost(Event{i}));
+    duty.postLatest(Configuration{7});
+    duty.postLatest(Changes{{1}});
+    duty.start([&](Message &message) {
+        if (std::holds_alternative<Configuration>(message))
+            throw std::runtime_error("a configuration with an unexpected error");
+        if (const auto *event = std::get_if<Event>(&message)) {
+            if (event->number == 1)
+                throw std::out_of_range("an unexpected event");
+            handled += "event" + std::to_string(event->number) + " ";
+        } else if (std::holds_alternative<Changes>(message)) {
+            handled += "changes ";
+        } else if (auto *last = std::get_if<Last>(&message)) {
+            last->done->set_value();
+        }
+    });
+    asio::post(duty.io(), [] { throw std::bad_alloc(); });
+    asio::post(duty.io(), [&] { duty.postLatest(Last{&done}); });
+    done.get_future().wait();
+    duty.stop();
+    CHECK(handled == "changes event0 event2 ");
+    CHECK(duty.errors() == 3);
+}
+
 TEST_CASE("A duty that several threads post to misses no change")
 {
     constexpr int writers = 4;
--- a/test/unit/peerduty_test.cpp
+++ b/test/unit/peerduty_test.cpp
@@ -220,6 +220,16 @@
             }));
         }
 
+        SECTION("a VM whose name is not text is shown in the state dump")
+        {
+            vm.send(helloOf("other\xff\xfe"));
+            REQUIRE(vm.receive()->body.AsPing() != nullptr);
+            std::promise<std::string> state;
+            duty.postLatest(
+                StateRequest{[&](std::string text) { state.set_value(std::move(text)); }});
+            CHECK(state.get_future().get().find("\"peer\":\"other") != std::string::npos);
+        }
+
         SECTION("a link on which nothing is under way stays open")
         {
             introduce();
