Keep timers, accept loops and connections going after an unexpected error

An exception ends the function of the event loop that let it out. Change: these are arranged whatever happens (AtExit). The connection to a caller or to another VM whose message met the error is closed, without an answer; a call to a target counts as lost.

--- a/src/duties/controlduty.cpp
+++ b/src/duties/controlduty.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/atexit.h"
 #include "base/jsontext.h"
 #include "base/log.h"
 #include "config/vmlist.h"
@@ -148,12 +149,12 @@
 
 void ControlDuty::onTick()
 {
+    const AtExit next([this] { armTickTimer(); });
     m_members.onTick();
     m_config.onTick();
     updateReadiness();
     confirmConfigIfNewest();
     updatePlatformPlan();
-    armTickTimer();
 }
 
 void ControlDuty::armTickTimer()
--- a/src/duties/heartbeatsocket.cpp
+++ b/src/duties/heartbeatsocket.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/buffer.hpp>
 
+#include "base/atexit.h"
 #include "base/log.h"
 #include "duties/memberswire.h"
 
@@ -52,9 +53,9 @@
     m_socket.async_receive_from(parts, m_sender, [this](asio::error_code error, std::size_t size) {
         if (error == asio::error::operation_aborted)
             return;
+        const AtExit next([this] { receive(); });
         if (!error)
             onDatagram(size);
-        receive();
     });
 }
 
--- a/src/duties/peerduty.cpp
+++ b/src/duties/peerduty.cpp
@@ -172,6 +172,11 @@
 void PeerDuty::checkLinks()
 {
     const Clock::time_point now = Clock::now();
+    m_linkCheckTimer.expires_at(now + LinkCheckInterval);
+    m_linkCheckTimer.async_wait([this](asio::error_code error) {
+        if (!error)
+            checkLinks();
+    });
     std::vector<std::shared_ptr<PeerLink>> links;
     links.reserve(m_links.size());
     for (const auto &[id, link] : m_links)
@@ -184,11 +189,6 @@
         link->checkSilence(now);
         link->checkUnfinished(elapsed);
     }
-    m_linkCheckTimer.expires_at(now + LinkCheckInterval);
-    m_linkCheckTimer.async_wait([this](asio::error_code error) {
-        if (!error)
-            checkLinks();
-    });
 }
 
 void PeerDuty::subtractTransitDelay(const VmId &vm, std::uint64_t incarnation, wire::FrameT &frame,
--- a/src/duties/peerlink.cpp
+++ b/src/duties/peerlink.cpp
@@ -7,6 +7,7 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
+#include "base/atexit.h"
 #include "base/log.h"
 #include "duties/peerduty.h"
 #include "duties/wiretime.h"
@@ -163,8 +164,15 @@
     }
     if (m_body.capacity() > BodyStepBytes)
         m_body = {};
+    bool isHandled = false;
+    const AtExit next([&] {
+        if (isHandled)
+            continueReading();
+        else
+            close();
+    });
     onFrame(std::move(*frame), size);
-    continueReading();
+    isHandled = true;
 }
 
 void PeerLink::continueReading()
--- a/src/duties/ticketduty.cpp
+++ b/src/duties/ticketduty.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include "base/atexit.h"
 #include "base/jsontext.h"
 #include "base/log.h"
 #include "duties/ticketwire.h"
@@ -366,11 +367,11 @@
     m_pruneTimer.async_wait([this](asio::error_code error) {
         if (error)
             return;
+        const AtExit next([this] { armPruneTimer(); });
         m_ledger.prune(Clock::now());
         std::erase_if(m_exchanges, [this](const auto &each) {
             return !m_running.contains(each.second) && !m_ledger.isUsed(each.second);
         });
-        armPruneTimer();
     });
 }
 
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/atexit.h"
 #include "base/jsontext.h"
 #include "base/log.h"
 #include "http/httpstatus.h"
@@ -358,8 +359,8 @@
     m_sweepTimer.async_wait([this](const asio::error_code &error) {
         if (error)
             return;
+        const AtExit next([this] { armSweep(); });
         sweep();
-        armSweep();
     });
 }
 
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "base/atexit.h"
 #include "base/jsontext.h"
 #include "base/log.h"
 #include "http/httpstatus.h"
@@ -145,12 +146,12 @@
     m_memberTick.async_wait([this](const asio::error_code &error) {
         if (error)
             return;
+        const AtExit next([this] { armMemberTick(); });
         m_members->onTick();
         m_permits.onTick(Clock::now());
         if (m_storeView.hasState())
             m_metrics.stateAge.Set(
                 std::chrono::duration<double>(Clock::now() - m_storeView.lastContact()).count());
-        armMemberTick();
     });
 }
 
@@ -221,12 +222,12 @@
         return;
     }
     m_sinks.onRead("ok", took);
+    const AtExit next([this] { fetchNext(); });
     setLastSource(FromStore{});
     if (isListing)
         onPage(*response);
     else
         onChanges(*response);
-    fetchNext();
 }
 
 void RegistryDuty::onChanges(const StoreResponse &response)
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/atexit.h"
 #include "base/log.h"
 #include "entry/registryduty.h"
 
@@ -92,6 +93,7 @@
     const StoreSource source = *m_follower.source();
     const Clock::time_point now = Clock::now();
     const std::uint64_t before = m_follower.revision();
+    const AtExit next([this] { fetchNext(); });
     const PeerStateUse use = m_follower.onPeerState(state.revision, now - state.age, now);
     if (use.shouldApply)
         applyPeerState(state, before, source);
@@ -101,7 +103,6 @@
     } else {
         endPull(source, "its state is stale");
     }
-    fetchNext();
 }
 
 void RegistryDuty::endPull(const StoreSource &source, const char *failure)
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
+#include "base/atexit.h"
 #include "http/httpstatus.h"
 #include "http/socketoptions.h"
 
@@ -46,9 +47,9 @@
 
 std::string_view toString(ConnectionEnd::Cause cause)
 {
-    static constexpr std::array<std::string_view, 7> names{
+    static constexpr std::array<std::string_view, 8> names{
         "caller_closed", "caller_reset", "caller_silent", "answer_not_read",
-        "idle",          "last_answer",  "stop"};
+        "idle",          "last_answer",  "stop",          "error"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
@@ -77,10 +78,18 @@
                             self->m_isWaitingForData = false;
                             if (self->phase() == CallerPhase::Closed)
                                 return;
-                            if (error)
+                            if (error) {
                                 self->close(causeOf(error));
-                            else
-                                self->readSocket();
+                                return;
+                            }
+                            // A request that could not be handled gets no answer.
+                            bool isHandled = false;
+                            const AtExit end([&] {
+                                if (!isHandled)
+                                    self->close(ConnectionEnd::Cause::Error);
+                            });
+                            self->readSocket();
+                            isHandled = true;
                         });
 }
 
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -32,6 +32,7 @@
         Idle, ///< No request has arrived for the idle limit.
         LastAnswer, ///< The response was the last one of the connection.
         Stop, ///< The VM stops.
+        Error, ///< A request of the connection met an unexpected error.
     };
 
     Cause cause;
--- a/src/http/targetchannel.cpp
+++ b/src/http/targetchannel.cpp
@@ -7,6 +7,7 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include "base/atexit.h"
 #include "http/socketoptions.h"
 
 namespace mangoshift {
@@ -133,10 +134,17 @@
                             self->m_isWaitingForData = false;
                             if (self->m_isClosed)
                                 return;
-                            if (error)
+                            if (error) {
                                 self->finishWithoutResponse(TargetCallResult::End::Lost);
-                            else
-                                self->readSocket();
+                                return;
+                            }
+                            bool isHandled = false;
+                            const AtExit end([&] {
+                                if (!isHandled && !self->m_isClosed)
+                                    self->finishWithoutResponse(TargetCallResult::End::Lost);
+                            });
+                            self->readSocket();
+                            isHandled = true;
                         });
 }
 
--- a/src/net/acceptloop.cpp
+++ b/src/net/acceptloop.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "base/atexit.h"
 #include "base/log.h"
 
 namespace mangoshift {
@@ -23,9 +24,11 @@
             onFailed(error);
             return;
         }
+        const AtExit next([this] {
+            if (m_acceptor.is_open())
+                start();
+        });
         m_onAccepted(std::move(socket));
-        if (m_acceptor.is_open())
-            start();
     });
 }
 
