--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -285,7 +285,7 @@
             REQUIRE(deployment.simulation.now() - deployment.fleet->view(vm).lastContact()
                     < StateFollower::MaxStateAge);
         // Four VMs follow it, each of which is sent something once a second.
-        constexpr std::uint64_t expectedReplies = 4 * 10;
+        constexpr std::uint64_t expectedReplies = std::uint64_t{4} * 10;
         CHECK(deployment.fleet->mostReplies() - repliesBefore <= expectedReplies + 8);
     }
     SECTION("while the configuration and targets change")
@@ -299,7 +299,7 @@
         }
         CHECK(deployment.runAndCheck(5s) == NoFault);
         // Four VMs follow it for 19 s, each of which is sent something twice a second at most.
-        constexpr std::uint64_t mostExpectedReplies = 4 * 19 * 2;
+        constexpr std::uint64_t mostExpectedReplies = std::uint64_t{4} * 19 * 2;
         CHECK(deployment.fleet->mostReplies() - repliesBefore <= mostExpectedReplies);
     }
     SECTION("while VMs freeze, watchers among them")
