--- a/docs/capacity.py
+++ b/docs/capacity.py
@@ -376,7 +376,7 @@
 def write_sweep(page):
     """Writes what the users' bench measured at 30, 100 and 300 VMs, as it printed it."""
     page.add("## Measured at 30, 100 and 300 VMs\n")
-    page.add("`fleetbench sweep` of rhp-search-large, one run on 2026-12-06 on arm64 with the tree of 2ed791e (a trial, beside "
+    page.add("`fleetbench sweep` of rhp-search-large, one run on 2026-12-06 on arm64 with the tree of fbce8ea (a trial, beside "
              "system tests). At 9fde4ba the worth was 0.750, 0.733 and 0.565, a configuration in force at 300 VMs after 730 to "
              "816 ms, and the busiest of them used 14.8 % of a core and 453 kB/s; at 193e218 0.588, 0.572 and 0.404, 16.6 % and "
              "459 kB/s (the users' run).\n")
