--- a/docs/capacity.py
+++ b/docs/capacity.py
@@ -376,8 +376,8 @@
 def write_sweep(page):
     """Writes what the users' bench measured at 30, 100 and 300 VMs, as it printed it."""
     page.add("## Measured at 30, 100 and 300 VMs\n")
-    page.add("`fleetbench sweep` of rhp-search-large, one run on 2026-12-06 on arm64 with the tree of fbce8ea (a trial, beside "
-             "system tests). At 9fde4ba the worth was 0.750, 0.733 and 0.565, a configuration in force at 300 VMs after 730 to "
+    page.add("`fleetbench sweep` of rhp-search-large, one run on 2026-12-06 on arm64 with the code of c99a2fc, nothing beside "
+             "it (a trial of the tree of fbce8ea had 0.755, 0.746, 0.617). At 9fde4ba the worth was 0.750, 0.733 and 0.565, a configuration in force at 300 VMs after 730 to "
              "816 ms, and the busiest of them used 14.8 % of a core and 453 kB/s; at 193e218 0.588, 0.572 and 0.404, 16.6 % and "
              "459 kB/s (the users' run).\n")
     page.add("```")
@@ -385,9 +385,9 @@
     page.add("```\n")
     page.add("What binds: at 300 VMs the worst-served kind of request is that with the shortest aim (60 ms; 0.56), and bytes between "
              "domains are the largest price; neither was traced. The busiest VM uses 1.4 times the median of the processor, and still "
-             "15 times of the link. By reading, not shown by metrics: when all VMs start at once, as they do twice in this day, only "
-             "the three seeds have the state, and send it whole to most of the others. By these slopes the busiest VM uses 10.3 % of "
-             "a core and 581 kB/s at 541 VMs, with its queries; control alone was not measured apart.\n")
+             "16 times of the link. By reading, not shown by metrics: when all VMs start at once, as they do twice in this day, only "
+             "the three seeds have the state, and send it whole to most of the others. By these slopes the busiest VM uses 10.2 % of "
+             "a core and 626 kB/s at 541 VMs, with its queries; control alone was not measured apart.\n")
 
 
 def write_failures(page, model):
