Send nothing to targets of a failure domain that operators evacuate

The key of a request is decoded in platform/, Evacuations keeps the newest report on each domain, and the state that VMs send each other names all evacuated domains. Targets of such a domain are no candidates, calls that wait for a connection there are taken back, and after the end each VM returns at a random time with one request at a time.

--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -62,6 +62,7 @@
     {"no_target", "no other target is known"},
     {"no_room", "no target has capacity"},
     {"leaving", "each target that is left has said that it leaves"},
+    {"evacuated", "the failure domain of each target that is left is evacuated"},
     {"paused", "each target that is left has asked for a pause that is too long for it"},
     {"failing", "each target that is left fails and is being probed by another request"},
     {"limited", "each target that is left has named a limit that leaves no room for it in time"}};
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -104,6 +104,11 @@
     m_duty.postLatest(TargetsChanged{std::move(changes)});
 }
 
+void EntryDuty::setEvacuatedDomains(std::set<std::string> failureDomains)
+{
+    m_duty.postLatest(EvacuationsChanged{std::move(failureDomains)});
+}
+
 void EntryDuty::setFleetSize(std::size_t vms)
 {
     m_duty.postLatest(FleetSize{vms});
@@ -140,41 +145,45 @@
 
 void EntryDuty::handle(Message &message)
 {
-    std::visit(Overloaded{[this](RoutingChanged &changed) {
-                              m_routing = std::move(changed.routing);
-                              m_state.directory.setRouting(m_routing);
-                              m_callers.setLimits(m_routing->document().limits);
-                              m_state.metrics.configVersion.Set(
-                                  static_cast<double>(m_routing->version()));
-                              updateReady();
-                          },
-                          [this](TargetsChanged &changed) {
-                              m_state.directory.apply(changed.changes, Clock::now());
-                          },
-                          [this](RegistryListed &) {
-                              m_isRegistryListed = true;
-                              updateReady();
-                          },
-                          [this](FleetSize &fleet) { m_state.growFleet(fleet.vms); },
-                          [this](BudgetGrants &grants) { m_state.budgets.onGrants(grants); },
-                          [this](PermitReply &reply) { m_state.directory.onPermits(reply); },
-                          [this](ReloadableSettings &settings) {
-                              m_state.replyMargin = settings.replyMargin;
-                              m_state.budgets.setTerms(settings.retryBudget);
-                          },
-                          [this](OtherDomainContact &) {
-                              m_state.reachMonitor.onOtherDomainContact(Clock::now());
-                              updateReady();
-                          },
-                          [this](Leave &leave) {
-                              m_isLeaving = true;
-                              m_leavingSince = Clock::now();
-                              m_leaveDeadline = leave.deadline;
-                              m_callers.closeAfterResponses();
-                              updateReady();
-                          },
-                          [this](StateRequest &request) { request.reply(stateJson()); }},
-               message);
+    std::visit(
+        Overloaded{[this](RoutingChanged &changed) {
+                       m_routing = std::move(changed.routing);
+                       m_state.directory.setRouting(m_routing);
+                       m_callers.setLimits(m_routing->document().limits);
+                       m_state.metrics.configVersion.Set(static_cast<double>(m_routing->version()));
+                       updateReady();
+                   },
+                   [this](TargetsChanged &changed) {
+                       m_state.directory.apply(changed.changes, Clock::now());
+                   },
+                   [this](EvacuationsChanged &changed) {
+                       m_state.directory.setEvacuatedDomains(std::move(changed.failureDomains),
+                                                             Clock::now());
+                   },
+                   [this](RegistryListed &) {
+                       m_isRegistryListed = true;
+                       updateReady();
+                   },
+                   [this](FleetSize &fleet) { m_state.growFleet(fleet.vms); },
+                   [this](BudgetGrants &grants) { m_state.budgets.onGrants(grants); },
+                   [this](PermitReply &reply) { m_state.directory.onPermits(reply); },
+                   [this](ReloadableSettings &settings) {
+                       m_state.replyMargin = settings.replyMargin;
+                       m_state.budgets.setTerms(settings.retryBudget);
+                   },
+                   [this](OtherDomainContact &) {
+                       m_state.reachMonitor.onOtherDomainContact(Clock::now());
+                       updateReady();
+                   },
+                   [this](Leave &leave) {
+                       m_isLeaving = true;
+                       m_leavingSince = Clock::now();
+                       m_leaveDeadline = leave.deadline;
+                       m_callers.closeAfterResponses();
+                       updateReady();
+                   },
+                   [this](StateRequest &request) { request.reply(stateJson()); }},
+        message);
 }
 
 void EntryDuty::updateReady()
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -61,6 +62,8 @@
     /// Sets the configuration in force.
     void setRouting(RoutingTablePtr routing);
     void applyTargets(std::vector<RegistryChange> changes);
+    /// Sets the failure domains to whose targets nothing must be sent.
+    void setEvacuatedDomains(std::set<std::string> failureDomains);
     /// Reports that all targets have been listed, so that requests can be served.
     void setRegistryListed();
     /// Reports how many VMs there may be; see `EntryState::growFleet`.
@@ -91,6 +94,10 @@
 
         void merge(TargetsChanged later) { mergeChanges(changes, std::move(later.changes)); }
     };
+    struct EvacuationsChanged
+    {
+        std::set<std::string> failureDomains;
+    };
     struct RegistryListed
     {
     };
@@ -105,9 +112,9 @@
     {
         Clock::time_point deadline;
     };
-    using Message =
-        std::variant<RoutingChanged, TargetsChanged, RegistryListed, FleetSize, BudgetGrants,
-                     PermitReply, ReloadableSettings, OtherDomainContact, Leave, StateRequest>;
+    using Message = std::variant<RoutingChanged, TargetsChanged, EvacuationsChanged, RegistryListed,
+                                 FleetSize, BudgetGrants, PermitReply, ReloadableSettings,
+                                 OtherDomainContact, Leave, StateRequest>;
 
     void handle(Message &message);
     CallerEvents callerEvents();
--- a/src/entry/entryvm.cpp
+++ b/src/entry/entryvm.cpp
@@ -64,6 +64,9 @@
     sinks.onTargets = [this](std::vector<RegistryChange> changes) {
         m_entry->applyTargets(std::move(changes));
     };
+    sinks.onEvacuations = [this](std::set<std::string> failureDomains) {
+        m_entry->setEvacuatedDomains(std::move(failureDomains));
+    };
     sinks.onInitialListing = [this] { m_entry->setRegistryListed(); };
     sinks.onRead = [this](const char *outcome, Clock::duration took) {
         m_metrics.storeReads.Add({{"outcome", outcome}}).Increment();
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -171,8 +171,10 @@
     }
     m_fetchTimer.cancel();
     std::visit(Overloaded{[this](const ListStore &list) {
-                              if (list.afterKey.empty())
+                              if (list.afterKey.empty()) {
                                   m_listedTargets.clear();
+                                  m_listedEvacuations.clear();
+                              }
                               fetchFromStore(m_adapter.listingUri(list.afterKey), list.timeout,
                                              true);
                           },
@@ -245,6 +247,8 @@
     m_follower.onPage(response.revision, !response.isTruncated, response.lastKey, Clock::now());
     onStoreContact();
     for (const StoreEntry &entry : response.entries) {
+        if (const auto *evacuation = std::get_if<EvacuationEntry>(&entry.value))
+            m_listedEvacuations.insert(evacuation->failureDomain);
         if (const auto *target = std::get_if<RegisteredTarget>(&entry.value))
             m_listedTargets.push_back(*target);
         else
@@ -256,6 +260,9 @@
         return;
     }
     const bool isFirst = !m_storeView.hasState();
+    publish(m_storeView.replaceEvacuations(std::exchange(m_listedEvacuations, {}),
+                                           m_follower.revision()),
+            FromStore{});
     publish(m_storeView.replaceAll(std::exchange(m_listedTargets, {}), before,
                                    m_follower.revision(), Clock::now()));
     onTargetsUpdated(isFirst);
@@ -307,6 +314,9 @@
                 applyConfiguration(document, entry.configuration, FromStore{});
             },
             [&](const RegisteredTarget &target) { publish(m_storeView.put(target, revision)); },
+            [&](const EvacuationEntry &evacuation) {
+                applyEvacuation(evacuation, entry.key, std::max(entry.revision, revision));
+            },
             [&](const UnreadableEntry &unreadable) {
                 logEvent(LogLevel::Warning, "entry_rejected",
                          {{"key", entry.key}, {"why", unreadable.why}});
@@ -321,6 +331,15 @@
     armExpiry();
 }
 
+void RegistryDuty::applyEvacuation(const EvacuationEntry &evacuation, const std::string &key,
+                                   std::uint64_t revision)
+{
+    if (!evacuation.fault.empty())
+        logEvent(LogLevel::Warning, "entry_unreadable", {{"key", key}, {"why", evacuation.fault}});
+    publish(m_storeView.setEvacuation(evacuation.failureDomain, evacuation.isRequested, revision),
+            FromStore{});
+}
+
 void RegistryDuty::applyConfiguration(const RoutingDocument &document, const std::string &bytes,
                                       const StoreSource &source)
 {
@@ -350,6 +369,18 @@
         m_sinks.onTargets(std::move(changes));
 }
 
+void RegistryDuty::publish(const std::vector<EvacuationChange> &changes, const StoreSource &source)
+{
+    for (const EvacuationChange &change : changes)
+        logEvent(LogLevel::Info,
+                 change.isEvacuated ? "domain_evacuated" : "domain_evacuation_ended",
+                 {{"failure_domain", change.failureDomain},
+                  {"revision", std::to_string(change.revision)},
+                  {"source", toString(source)}});
+    if (!changes.empty())
+        m_sinks.onEvacuations(m_storeView.evacuations().domains());
+}
+
 void RegistryDuty::armExpiry()
 {
     const auto next = m_storeView.nextExpiry();
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -32,6 +33,8 @@
 {
     std::function<void(RoutingTablePtr)> onRouting;
     std::function<void(std::vector<RegistryChange>)> onTargets;
+    /// All failure domains to whose targets nothing must be sent.
+    std::function<void(std::set<std::string>)> onEvacuations;
     /// All targets have been listed for the first time.
     std::function<void()> onInitialListing;
     /// One read of the store with its duration and its outcome: `ok`, `refused`, `failed` or
@@ -112,6 +115,9 @@
     /// Records the source that state was last received from, and logs when it changes.
     void setLastSource(const StoreSource &source);
     void publish(std::vector<RegistryChange> changes);
+    void publish(const std::vector<EvacuationChange> &changes, const StoreSource &source);
+    void applyEvacuation(const EvacuationEntry &evacuation, const std::string &key,
+                         std::uint64_t revision);
     void armExpiry();
     void replyToPull(const PendingStatePull &pull);
     KnownState knownState() const;
@@ -137,7 +143,9 @@
     Timer m_fetchTimer;
     Timer m_pullTimer;
     Timer m_expiryTimer;
+    /// What the pages of the listing in progress contain.
     std::vector<RegisteredTarget> m_listedTargets;
+    std::set<std::string> m_listedEvacuations;
     std::optional<StoreSource> m_lastSource;
     std::uint64_t m_pullSequence = 0;
     Clock::time_point m_fetchStartedAt{};
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -130,6 +130,8 @@
                      {{"key", "configuration"}, {"why", document.error()}});
     }
     const bool isFirst = !m_storeView.hasState();
+    if (state.evacuatedDomains)
+        publish(m_storeView.replaceEvacuations(*state.evacuatedDomains, state.revision), source);
     publish(m_storeView.apply(state, before, Clock::now()));
     onTargetsUpdated(isFirst);
 }
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -87,8 +87,8 @@
 
 const char *nameOf(TargetAbsence::Cause cause)
 {
-    static constexpr std::array names{"no_target", "leaving", "failing", "limited",
-                                      "paused",    "no_turn", "no_time"};
+    static constexpr std::array names{"no_target", "leaving", "evacuated", "failing",
+                                      "limited",   "paused",  "no_turn",   "no_time"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
--- a/src/entry/statewire.cpp
+++ b/src/entry/statewire.cpp
@@ -53,6 +53,11 @@
     reply.age_ms = toWire(state.age);
     reply.removals_wait_ms = toWire(state.removalsHeldFor);
     reply.configuration = state.configuration;
+    if (state.evacuatedDomains) {
+        reply.evacuations = std::make_unique<wire::EvacuatedDomainsT>();
+        reply.evacuations->names.assign(state.evacuatedDomains->begin(),
+                                        state.evacuatedDomains->end());
+    }
     reply.targets.reserve(state.targets.size() + state.removed.size());
     for (const RegisteredTarget &target : state.targets)
         reply.targets.push_back(toWire(target));
@@ -92,6 +97,9 @@
     state.age = std::chrono::milliseconds(reply.age_ms);
     state.removalsHeldFor = std::chrono::milliseconds(reply.removals_wait_ms);
     state.configuration = std::move(reply.configuration);
+    if (reply.evacuations)
+        state.evacuatedDomains.emplace(reply.evacuations->names.begin(),
+                                       reply.evacuations->names.end());
     for (const auto &target : reply.targets) {
         if (!target || target->id.empty())
             continue;
--- a/src/entry/statewire.h
+++ b/src/entry/statewire.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,8 @@
     std::vector<TargetId> removed;
     /// The bytes of the operator's configuration; empty if it has not changed.
     std::string configuration;
+    /// All evacuated failure domains; no value if the sender does not know of evacuations.
+    std::optional<std::set<std::string>> evacuatedDomains;
 };
 
 wire::StateReplyT toWire(const PeerState &state, std::uint64_t sequence);
--- a/src/entry/storeview.cpp
+++ b/src/entry/storeview.cpp
@@ -133,6 +133,7 @@
     state.revision = revision;
     state.age = clampToZero(now - m_lastContact);
     state.removalsHeldFor = clampToZero(m_registry.removalsHeldUntil() - now);
+    state.evacuatedDomains = m_evacuations.domains();
     state.isComplete = !m_changes.covers(known.revision);
     if (configurationVersion() > known.configurationVersion)
         state.configuration = m_configurationBytes;
@@ -158,6 +159,7 @@
     nlohmann::json state;
     state["config_version"] = configurationVersion();
     state["held_removals"] = m_registry.heldRemovals();
+    state["evacuated_domains"] = m_evacuations.revisions();
     for (const auto &[id, target] : m_registry.targets())
         state["targets"][id] = {{"service", target.service},
                                 {"address", target.address},
--- a/src/entry/storeview.h
+++ b/src/entry/storeview.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,14 +12,16 @@
 
 #include "entry/statewire.h"
 #include "mangoshift/changelog.h"
+#include "mangoshift/evacuations.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/targetregistry.h"
 
 namespace mangoshift {
 
-/// A VM's view of the store: the configuration in force, the targets, and the time of the last
-/// contact with the store. It also records at which revision each of them changed, so that other
-/// VMs can be sent only the changes. The data may come from the store or from another VM.
+/// A VM's view of the store: the configuration in force, the targets, the evacuated failure
+/// domains, and the time of the last contact with the store. It also records at which revision each
+/// of them changed, so that other VMs can be sent only the changes. The data may come from the
+/// store or from another VM.
 ///
 /// Each function that updates targets returns the changes for the users of the targets. Reads no
 /// clock. Not thread safe.
@@ -50,6 +53,19 @@
     /// the form in which the store holds it. Returns whether the configuration was put in force.
     bool adopt(const RoutingDocument &document, const std::string &bytes);
 
+    /// See `Evacuations`.
+    std::vector<EvacuationChange> setEvacuation(const std::string &failureDomain, bool isEvacuated,
+                                                std::uint64_t revision)
+    {
+        return m_evacuations.set(failureDomain, isEvacuated, revision);
+    }
+    std::vector<EvacuationChange> replaceEvacuations(const std::set<std::string> &failureDomains,
+                                                     std::uint64_t revision)
+    {
+        return m_evacuations.replaceAll(failureDomains, revision);
+    }
+    const Evacuations &evacuations() const { return m_evacuations; }
+
     /// Records that this VM, or the VM that provided the state, had contact with the store at `at`.
     void onStoreContact(Clock::time_point at) { m_lastContact = std::max(m_lastContact, at); }
     /// Records that the store responds again after a failure; must be called before
@@ -78,6 +94,7 @@
 
     TargetRegistry m_registry;
     ChangeLog m_changes;
+    Evacuations m_evacuations;
     RoutingTablePtr m_routing;
     std::string m_configurationBytes;
     std::chrono::milliseconds m_minOutage;
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -79,6 +79,7 @@
             }
             handle.info = target;
             handle.isMisdirected = false;
+            applyEvacuation(handle, now);
             return;
         }
         delist(target.id);
@@ -100,6 +101,7 @@
             onNotice(weak, response, sentAt);
         });
     handle->load.setWarmupEnd(now + target.warmupLeft);
+    handle->isEvacuated = m_evacuatedDomains.contains(target.failureDomain);
     if (target.isDraining)
         handle->drainingSince = now;
     m_byService[target.service].push_back(handle);
@@ -185,6 +187,7 @@
                                                         Clock::time_point now) const
 {
     Candidates found;
+    std::vector<TargetHandlePtr> returning;
     std::vector<TargetHandlePtr> draining;
     const auto it = m_byService.find(call.service);
     if (it == m_byService.end())
@@ -197,6 +200,8 @@
             continue;
         if (handle->standing->isLeaving()) {
             absence.cause = std::max(absence.cause, TargetAbsence::Cause::Leaving);
+        } else if (handle->isEvacuated) {
+            absence.cause = std::max(absence.cause, TargetAbsence::Cause::Evacuated);
         } else if (!handle->standing->mayReceive(now)) {
             absence.cause = std::max(absence.cause, TargetAbsence::Cause::Paused);
             absence.endsAt = std::min(absence.endsAt.value_or(Clock::time_point::max()),
@@ -204,11 +209,13 @@
         } else if (call.leavesOutEjected && handle->load.isEjected()) {
             absence.cause = std::max(absence.cause, TargetAbsence::Cause::Failing);
         } else if (!handle->info.isDraining) {
-            found.handles.push_back(handle);
+            (now < handle->returnsAt ? returning : found.handles).push_back(handle);
         } else if (now - handle->drainingSince < DrainingPickTime) {
             draining.push_back(handle);
         }
     }
+    if (found.handles.empty())
+        found.handles = std::move(returning);
     if (found.handles.empty())
         found.handles = std::move(draining);
     const bool hasPermit = call.permit && !call.permit->isExpired(now);
@@ -235,12 +242,17 @@
     const auto it = m_byService.find(service);
     return it != m_byService.end()
         && std::any_of(it->second.begin(), it->second.end(), [now](const TargetHandlePtr &handle) {
-               return !handle->isMisdirected && !handle->info.isDraining
-                   && !handle->load.isFailing() && handle->standing->mayReceive(now)
+               return isOpen(*handle, now) && !handle->load.isFailing()
                    && !handle->standing->limit().isLimited();
            });
 }
 
+bool TargetDirectory::isOpen(const TargetHandle &target, Clock::time_point now)
+{
+    return !target.isMisdirected && !target.info.isDraining && !target.isEvacuated
+        && now >= target.returnsAt && target.standing->mayReceive(now);
+}
+
 bool TargetDirectory::Candidates::areAllEjected() const
 {
     return !handles.empty() && limited.empty()
@@ -390,8 +402,8 @@
 std::size_t TargetDirectory::countReachableServices(const std::vector<std::string> &services) const
 {
     const auto isReachable = [](const TargetHandlePtr &handle) {
-        return !handle->isMisdirected && !handle->info.isDraining && !handle->standing->isLeaving()
-            && !handle->load.isUnresponsive();
+        return !handle->isMisdirected && !handle->info.isDraining && !handle->isEvacuated
+            && !handle->standing->isLeaving() && !handle->load.isUnresponsive();
     };
     return static_cast<std::size_t>(
         std::count_if(services.begin(), services.end(), [&](const std::string &service) {
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -42,6 +43,11 @@
     /// Set when another target responded at this target's address, which means that this target no
     /// longer runs there.
     bool isMisdirected = false;
+    /// Whether the operators want nothing sent to targets of this failure domain.
+    bool isEvacuated = false;
+    /// Until when, after an evacuation, the target gets requests only if the service has no other
+    /// target.
+    Clock::time_point returnsAt{};
 
     TargetHandle(asio::io_context &io, RegisteredTarget target,
                  const asio::ip::tcp::endpoint &endpoint, const TargetHeaderNames &names,
@@ -64,6 +70,7 @@
     enum class Cause : std::uint8_t {
         None, ///< No target is known, or each one has been tried.
         Leaving, ///< A target has said that it leaves.
+        Evacuated, ///< The failure domain of a target is evacuated.
         Failing, ///< A target fails, and another request is probing it.
         Limited, ///< A target has named a limit, and no request is left within it.
         Paused, ///< A target has asked for a pause that is too long for the call.
@@ -176,6 +183,11 @@
     void apply(const std::vector<RegistryChange> &changes, Clock::time_point now);
     /// Applies the connection limits of a new configuration.
     void setRouting(RoutingTablePtr routing);
+    /// Sets the failure domains to whose targets nothing is sent. Calls that wait for a connection
+    /// there are taken back, requests in flight go on. After an evacuation, targets return at
+    /// random times and with one request at a time, so that the VMs do not all return at once to
+    /// targets that may be cold.
+    void setEvacuatedDomains(std::set<std::string> failureDomains, Clock::time_point now);
     /// Sets the number of VMs that share a target's connections.
     void setFleetSize(std::size_t vms);
     /// Sets this VM's name and failure domain. Targets in the same domain are preferred.
@@ -238,6 +250,12 @@
 private:
     void list(const RegisteredTarget &target, Clock::time_point now);
     void delist(const TargetId &id);
+    /// Starts or ends the evacuation of a target if its failure domain demands it. Returns whether
+    /// it did.
+    bool applyEvacuation(TargetHandle &target, Clock::time_point now);
+    /// Returns whether nothing that is known of a target, other than its load, keeps requests from
+    /// it.
+    static bool isOpen(const TargetHandle &target, Clock::time_point now);
     /// Applies this VM's share of the connections to the targets of all services, or of one.
     void updateConnections();
     void updateConnections(const std::string &service);
@@ -330,6 +348,7 @@
     Metrics &m_metrics;
     ConnectionSharers m_sharers;
     RoutingTablePtr m_routing;
+    std::set<std::string> m_evacuatedDomains;
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
--- a/src/entry/targetdirectory_waiting.cpp
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -45,8 +45,7 @@
     std::uint32_t capacity = 0;
     if (const auto it = m_byService.find(service); it != m_byService.end())
         for (const TargetHandlePtr &handle : it->second)
-            if (!handle->isMisdirected && !handle->info.isDraining && !handle->load.isAvoided(now)
-                && handle->standing->mayReceive(now)
+            if (isOpen(*handle, now) && !handle->load.isAvoided(now)
                 && handle->standing->limit().allowsRequest(now))
                 capacity += handle->load.limit();
     return callLatency * (callsAhead + 1) / std::max<std::uint32_t>(capacity, 1);
--- a/src/entry/wireadapter.h
+++ b/src/entry/wireadapter.h
@@ -40,13 +40,25 @@
 {
 };
 
+/// The operators' request that nothing be sent to the targets of a failure domain, or its end.
+struct EvacuationEntry
+{
+    std::string failureDomain;
+    bool isRequested = false;
+    /// Why the value cannot be decoded; empty if it can. The request counts in any case.
+    std::string fault;
+};
+
 /// One decoded entry of the store.
 struct StoreEntry
 {
     std::string key;
     /// The id of the target that the key names; empty if the key names no target.
     TargetId targetId;
-    std::variant<RoutingDocument, RegisteredTarget, UnreadableEntry, RemovedEntry> value;
+    /// The revision at which the entry last changed; zero if the store does not say.
+    std::uint64_t revision = 0;
+    std::variant<RoutingDocument, RegisteredTarget, EvacuationEntry, UnreadableEntry, RemovedEntry>
+        value;
     /// The bytes of the operator's configuration, which are forwarded to other VMs unchanged.
     std::string configuration;
 };
--- a/test/unit/followingfleet.h
+++ b/test/unit/followingfleet.h
@@ -64,11 +64,19 @@
         std::uint64_t revision = 0;
         Clock::time_point changedAt;
     };
+    /// The last change of a request to evacuate a failure domain.
+    struct Evacuation
+    {
+        bool isRequested = false;
+        std::uint64_t revision = 0;
+        Clock::time_point changedAt;
+    };
     struct Change
     {
         std::uint64_t revision;
-        /// No value if the configuration changed.
+        /// No value if the configuration or an evacuation changed.
         std::optional<TargetId> target;
+        std::optional<std::string> evacuation = std::nullopt;
     };
     /// A response; no value if the request was refused or its connection closed.
     struct Response
@@ -78,6 +86,7 @@
         std::vector<Entry> targets;
         /// Zero if the response does not contain the configuration.
         ConfigVersion version = 0;
+        std::map<std::string, Evacuation> evacuations;
         bool isLast = true;
         std::string lastKey;
     };
@@ -111,6 +120,14 @@
         m_versionChangedAt = m_simulation.now();
         append({m_revision, std::nullopt});
     }
+    void evacuate(const std::string &failureDomain, bool isRequested)
+    {
+        Evacuation &evacuation = m_evacuations[failureDomain];
+        if (evacuation.isRequested == isRequested)
+            return;
+        evacuation = {isRequested, ++m_revision, m_simulation.now()};
+        append({m_revision, std::nullopt, failureDomain});
+    }
     void setMode(Mode mode) { m_mode = mode; }
     void setLatency(milliseconds latency) { m_latency = latency; }
     void setRejected(std::set<VmId> vms) { m_rejected = std::move(vms); }
@@ -139,6 +156,10 @@
         Response response;
         response.revision = m_revision;
         response.version = afterKey.empty() ? m_version : 0;
+        if (afterKey.empty())
+            for (const auto &[domain, evacuation] : m_evacuations)
+                if (evacuation.isRequested)
+                    response.evacuations.emplace(domain, evacuation);
         for (auto it = m_entries.upper_bound(afterKey); it != m_entries.end(); ++it) {
             if (it->second.isRemoved)
                 continue;
@@ -169,6 +190,7 @@
     }
 
     const std::map<TargetId, Entry> &entries() const { return m_entries; }
+    const std::map<std::string, Evacuation> &evacuations() const { return m_evacuations; }
     ConfigVersion version() const { return m_version; }
     Clock::time_point versionChangedAt() const { return m_versionChangedAt; }
     std::uint64_t reads() const { return m_reads; }
@@ -210,6 +232,8 @@
                 continue;
             if (change.target)
                 response.targets.push_back(m_entries.at(*change.target));
+            else if (change.evacuation)
+                response.evacuations[*change.evacuation] = m_evacuations.at(*change.evacuation);
             else
                 response.version = m_version;
         }
@@ -234,6 +258,7 @@
     std::uint64_t m_revision = 100;
     std::uint64_t m_oldestRevision = 0;
     std::map<TargetId, Entry> m_entries;
+    std::map<std::string, Evacuation> m_evacuations;
     std::vector<Change> m_history;
     ConfigVersion m_version = 0;
     Clock::time_point m_versionChangedAt{};
@@ -326,6 +351,7 @@
         StateFollower follower;
         StoreView view;
         std::vector<RegisteredTarget> listed;
+        std::set<std::string> listedEvacuations;
         /// Identifies the fetch in flight; a response to an earlier one is ignored.
         std::uint64_t fetch = 0;
         std::uint64_t wakeUp = 0;
@@ -369,8 +395,10 @@
         std::visit(
             Overloaded{
                 [&](const ListStore &list) {
-                    if (list.afterKey.empty())
+                    if (list.afterKey.empty()) {
                         vm.listed.clear();
+                        vm.listedEvacuations.clear();
+                    }
                     failAfter(vm, list.timeout, number);
                     m_store.list(vm.id, list.afterKey, onStore(vm, number, true));
                 },
@@ -438,7 +466,9 @@
             vm.follower.onPage(response.revision, response.isLast, response.lastKey, now);
         else
             vm.follower.onChanges(response.revision,
-                                  response.version != 0 || !response.targets.empty(), now);
+                                  response.version != 0 || !response.targets.empty()
+                                      || !response.evacuations.empty(),
+                                  now);
         if (vm.follower.takeStoreRecovered())
             vm.view.onStoreRecovered(now);
         vm.view.onStoreContact(now);
@@ -446,6 +476,12 @@
             isListing ? vm.follower.listingRevision() : response.revision;
         if (response.version != 0)
             adopt(vm, response.version);
+        for (const auto &[domain, evacuation] : response.evacuations) {
+            if (isListing)
+                vm.listedEvacuations.insert(domain);
+            vm.view.setEvacuation(domain, evacuation.isRequested,
+                                  std::max(evacuation.revision, revision));
+        }
         for (const SimulatedStore::Entry &entry : response.targets) {
             if (isListing)
                 vm.listed.push_back(entry.target);
@@ -454,8 +490,10 @@
             else
                 vm.view.put(entry.target, revision);
         }
-        if (isListing && !vm.follower.isListing())
+        if (isListing && !vm.follower.isListing()) {
+            vm.view.replaceEvacuations(vm.listedEvacuations, revision);
             vm.view.replaceAll(vm.listed, before, revision, now);
+        }
         onUpdated(vm);
     }
     static void adopt(Vm &vm, ConfigVersion version)
@@ -524,6 +562,8 @@
         if (use.shouldApply) {
             if (!state.configuration.empty())
                 adopt(vm, std::stoull(state.configuration));
+            if (state.evacuatedDomains)
+                vm.view.replaceEvacuations(*state.evacuatedDomains, state.revision);
             vm.view.apply(state, before, now);
             onUpdated(vm);
         }
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -217,6 +217,59 @@
 
 // Guards against a VM that ends, or stops following the store, because of an entry of another
 // writer.
+// Guards against an operator's request that is passed over because its value is odd, and against
+// names that other duties cannot print.
+TEST_CASE("A request to evacuate a failure domain is decoded by its key")
+{
+    const auto evacuationOf = [](const std::string &key, const std::string &value) {
+        const StoreResponse response = decodeWithOddEntry(key, value);
+        REQUIRE(response.entries.size() == 3);
+        return response.entries[1];
+    };
+
+    SECTION("the domain and the revision are read")
+    {
+        const StoreEntry entry = evacuationOf("op/evacuate/zone-a", "{}");
+        const auto &evacuation = std::get<EvacuationEntry>(entry.value);
+        CHECK(evacuation.failureDomain == "zone-a");
+        CHECK(evacuation.isRequested);
+        CHECK(evacuation.fault.empty());
+        CHECK(entry.revision == 1);
+        CHECK(entry.targetId.empty());
+    }
+    SECTION("an odd value is reported and the request still counts")
+    {
+        for (const char *value : {"", "nonsense", "[]", "null", "3"}) {
+            CAPTURE(value);
+            const auto entry = evacuationOf("op/evacuate/zone-a", value);
+            const auto &evacuation = std::get<EvacuationEntry>(entry.value);
+            CHECK(evacuation.isRequested);
+            CHECK(evacuation.fault == "value: is not a JSON object");
+        }
+    }
+    SECTION("an odd name is an unreadable entry, which names no target")
+    {
+        const std::string tooLong(200, 'z');
+        for (const std::string &name : {std::string(), std::string("a b"), tooLong}) {
+            CAPTURE(name);
+            const StoreEntry entry = evacuationOf("op/evacuate/" + name, "{}");
+            CHECK(std::holds_alternative<UnreadableEntry>(entry.value));
+            CHECK(entry.targetId.empty());
+        }
+    }
+    SECTION("a deleted key ends the evacuation")
+    {
+        const Json body{
+            {"current_rev", 9},
+            {"events", {{{"key", "op/evacuate/zone-a"}, {"revision", 8}, {"deleted", true}}}}};
+        const auto response = platform::adapter().parseChanges(body.dump());
+        REQUIRE(response);
+        const auto &entry = response->entries.at(0);
+        CHECK(entry.revision == 8);
+        CHECK_FALSE(std::get<EvacuationEntry>(entry.value).isRequested);
+    }
+}
+
 TEST_CASE("An odd entry names no target, and the entries beside it hold")
 {
     const std::string key = "servers/i-2";
--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -103,6 +103,14 @@
                     && !fleet->hasSeen(vm, entry, false))
                     return vm + std::string(" still acts on the earlier state of ").append(id);
             }
+            const std::set<std::string> evacuated = fleet->view(vm).evacuations().domains();
+            for (const auto &[domain, evacuation] : store.evacuations()) {
+                const bool hasSeen = evacuated.contains(domain) == evacuation.isRequested;
+                if (!hasSeen
+                    && (isDue(evacuation.changedAt)
+                        || evacuation.revision <= fleet->follower(vm).revision()))
+                    return vm + std::string(" does not know the evacuation of ").append(domain);
+            }
             const ConfigVersion version = fleet->view(vm).routing()->version();
             if (isDue(store.versionChangedAt()) && version != store.version())
                 return vm + " still has an earlier configuration";
@@ -417,6 +425,13 @@
                     store.remove(draining.id);
             });
         }
+        for (int i = 0; i < 6; ++i) {
+            const std::string domain = shape[random() % shape.size()];
+            const bool isRequested = random() % 2 == 0;
+            simulation.after(deployment.upTo(12s), [&store, domain, isRequested] {
+                store.evacuate(domain, isRequested);
+            });
+        }
         while (simulation.now() < end) {
             const std::uint64_t readsBefore = store.reads();
             REQUIRE(deployment.runAndCheck(1s) == NoFault);
