Avoid a failure domain whose targets have stopped responding together

Cause: a VM found out for each target by itself that a domain was cut off.

Calls that are overdue together are now reported before the first hedge is placed, and DomainReach tells from them that a domain is silent: four targets overdue and no response of any of its targets since. Its targets are left out while others respond, and one first send in 250 ms finds out whether it responds again. Off unless the setting avoid_silent_domains is on.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -79,6 +79,8 @@
                  "Time in which a limited target got nothing of the requests it could have taken"))
     , permitAsks(counters(*m_registry, "mangoshift_permit_asks_total",
                           "Requests for permits to send to limited targets"))
+    , domainSilent(gauges(*m_registry, "mangoshift_domain_silent",
+                          "One while the targets of a failure domain have stopped responding"))
     , domainEvacuated(gauges(*m_registry, "mangoshift_domain_evacuated",
                              "One while nothing is sent to the targets of a failure domain"))
     , ready(gauges(*m_registry, "mangoshift_ready", "One while this VM is ready").Add({}))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -85,6 +85,8 @@
     prometheus::Family<prometheus::Gauge> &targetLimitUnused;
     /// Requests for permits to send to limited targets, by `outcome` (`granted`, `denied`).
     prometheus::Family<prometheus::Counter> &permitAsks;
+    /// By `failure_domain`: 1 while its targets do not respond, 0 after that.
+    prometheus::Family<prometheus::Gauge> &domainSilent;
     /// By `failure_domain`: 1 while nothing is sent to its targets, 0 after that.
     prometheus::Family<prometheus::Gauge> &domainEvacuated;
     /// 1 while this VM is ready, otherwise 0.
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -61,6 +61,7 @@
     , m_sweepTimer(m_duty.io())
 {
     m_state.directory.setVm(settings.vm, settings.failureDomain);
+    m_state.directory.setPolicies(settings.targetPolicies);
 }
 
 EntryDuty::~EntryDuty()
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -42,6 +42,25 @@
     return terms;
 }
 
+TargetPolicies readTargetPolicies(const Json &json)
+{
+    TargetPolicies policies;
+    policies.learnsCapacity = json.value("learn_capacity", policies.learnsCapacity);
+    policies.sharesCapacity = json.value("share_capacity", policies.sharesCapacity);
+    policies.avoidsSilentDomains = json.value("avoid_silent_domains", policies.avoidsSilentDomains);
+    return policies;
+}
+
+WarmupBound readWarmupBound(const Json &json)
+{
+    WarmupBound bound;
+    if (!json.contains("warmup"))
+        return bound;
+    bound.overshoot = json.at("warmup").at("overshoot");
+    bound.slack = json.at("warmup").at("slack");
+    return bound;
+}
+
 } // namespace
 
 tl::expected<EntrySettings, Faults> parseEntrySettings(const std::string &text)
@@ -70,6 +89,8 @@
     settings.watchWait = milliseconds(json.value("watch_wait_ms", settings.watchWait.count()));
     settings.targetReportInterval =
         milliseconds(json.value("target_report_ms", settings.targetReportInterval.count()));
+    settings.targetPolicies = readTargetPolicies(json);
+    settings.warmupBound = readWarmupBound(json);
     settings.logLevel = readLogLevel(json.value("log_level", "info"));
     settings.logLimits = readLogLimits(json);
     if (!faults.empty())
@@ -102,6 +123,13 @@
     compare("max_caller_connections", inForce.maxCallerConnections, wanted.maxCallerConnections);
     compare("watch_wait_ms", inForce.watchWait, wanted.watchWait);
     compare("target_report_ms", inForce.targetReportInterval, wanted.targetReportInterval);
+    compare("learn_capacity", inForce.targetPolicies.learnsCapacity,
+            wanted.targetPolicies.learnsCapacity);
+    compare("share_capacity", inForce.targetPolicies.sharesCapacity,
+            wanted.targetPolicies.sharesCapacity);
+    compare("avoid_silent_domains", inForce.targetPolicies.avoidsSilentDomains,
+            wanted.targetPolicies.avoidsSilentDomains);
+    compare("warmup", inForce.warmupBound, wanted.warmupBound);
     return fields;
 }
 
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -12,9 +12,22 @@
 #include "base/log.h"
 #include "config/fault.h"
 #include "mangoshift/retryshare.h"
+#include "mangoshift/targetpolicies.h"
 
 namespace mangoshift {
 
+/// How far the rate of requests to a cold target may exceed the rate that its service states, over
+/// all VMs and in any second.
+struct WarmupBound
+{
+    /// The stated rate is multiplied by this.
+    double overshoot = 1.0;
+    /// Requests a second beyond that.
+    double slack = 0.0;
+
+    bool operator==(const WarmupBound &) const = default;
+};
+
 /// The settings of an entry VM that follows a store, read at its start.
 struct EntrySettings
 {
@@ -52,6 +65,8 @@
     std::chrono::milliseconds watchWait{2000};
     /// How often a target writes its entry. It expires after three intervals of silence.
     std::chrono::milliseconds targetReportInterval{1200};
+    TargetPolicies targetPolicies;
+    WarmupBound warmupBound;
     LogLevel logLevel = LogLevel::Info;
     LogLimits logLimits;
 };
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -280,12 +280,8 @@
 {
     Part &part = m_parts[action.part];
     if (action.cause == SendCause::Hedge) {
-        readArrived(part);
-        if (m_isFinished)
-            return {};
         if (part.isAnswered)
             return m_machine->onHedgeDropped(action.part, now);
-        reportOverdue(part, now);
         if (part.isWaiting)
             return m_machine->onHedgeDeferred(action.part, now);
     }
@@ -359,6 +355,8 @@
         if (const auto self = weak.lock())
             self->onReply(index, target, std::move(reply));
     };
+    call.mayProbeDomain = action.cause == SendCause::First && m_request.route->isIdempotent
+        && m_request.route->maxAttempts > 1;
     call.leavesOutEjected = fanOut() == nullptr;
     call.waitLimit = call.waitingTerms().latestStart();
     if (fanOut() != nullptr)
@@ -573,6 +571,22 @@
             m_state.directory.onOverdue(copy.target, m_hedgeDelay, now);
 }
 
+void RequestExchange::reportOverdue(const RequestActions &actions)
+{
+    std::vector<std::size_t> late;
+    for (const RequestAction &action : actions)
+        if (const auto *send = std::get_if<SendPart>(&action);
+            send != nullptr && send->cause == SendCause::Hedge)
+            late.push_back(send->part);
+    for (const std::size_t part : late)
+        if (!m_isFinished)
+            readArrived(m_parts[part]);
+    const Clock::time_point now = Clock::now();
+    for (const std::size_t part : late)
+        if (!m_isFinished && !m_parts[part].isAnswered)
+            reportOverdue(m_parts[part], now);
+}
+
 void RequestExchange::armTimer()
 {
     const Clock::time_point next =
@@ -596,10 +610,14 @@
     if (m_isFinished)
         return;
     const Clock::time_point now = Clock::now();
-    if (m_callerLeftEnd && now >= *m_callerLeftEnd)
+    if (m_callerLeftEnd && now >= *m_callerLeftEnd) {
         finishNow(Reason::Cancelled);
-    else
-        perform(m_machine->onTimer(now));
+        return;
+    }
+    RequestActions actions = m_machine->onTimer(now);
+    reportOverdue(actions);
+    if (!m_isFinished)
+        perform(std::move(actions));
 }
 
 void RequestExchange::readArrived()
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -108,6 +108,10 @@
     /// Returns the failure that a reply stands for; no value if the reply answers the part.
     std::optional<Verdict> classifyReply(const TargetCallResult &reply) const;
     void reportOverdue(const Part &part, Clock::time_point now);
+    /// Reports the calls for which there will be hedges, after reading what has arrived. Done
+    /// before the first hedge is placed, as calls that are overdue together may show that a failure
+    /// domain cannot be reached.
+    void reportOverdue(const RequestActions &actions);
     /// Returns whether this VM is cut off and reaches too few targets for a successful answer.
     bool isCutOffFromTargets() const;
     /// Returns whether too few parts have targets for a successful answer, and until when. Adds the
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -218,6 +218,7 @@
         found.handles = std::move(returning);
     if (found.handles.empty())
         found.handles = std::move(draining);
+    leaveOutSilent(found.handles, call.mayProbeDomain, now);
     const bool hasPermit = call.permit && !call.permit->isExpired(now);
     const auto isClosed = [&call, now](const TargetHandlePtr &handle) {
         const bool isPermitted =
@@ -253,6 +254,25 @@
         && now >= target.returnsAt && target.standing->mayReceive(now);
 }
 
+void TargetDirectory::leaveOutSilent(std::vector<TargetHandlePtr> &handles, bool mayProbe,
+                                     Clock::time_point now) const
+{
+    if (!m_policies.avoidsSilentDomains || m_domainReach.silentDomains(now).empty())
+        return;
+    const auto isSilent = [this, mayProbe, now](const TargetHandlePtr &handle) {
+        const std::string &domain = handle->info.failureDomain;
+        return m_domainReach.isSilent(domain, now)
+            && !(mayProbe && m_domainReach.isProbeDue(domain, now));
+    };
+    // Targets that fail themselves are no better than those of a silent domain.
+    const bool hasOthers =
+        std::any_of(handles.begin(), handles.end(), [&isSilent](const TargetHandlePtr &handle) {
+            return !isSilent(handle) && !handle->load.isFailing();
+        });
+    if (hasOthers)
+        std::erase_if(handles, isSilent);
+}
+
 bool TargetDirectory::Candidates::areAllEjected() const
 {
     return !handles.empty() && limited.empty()
@@ -284,6 +304,7 @@
     // Another target has responded at the address.
     if (!handle || response.status == httpstatus::MisdirectedRequest)
         return;
+    onDomainResponse(*handle);
     const TargetNotice notice = m_adapter.decodeNotice(response);
     const Clock::time_point now = Clock::now();
     // A response that is not the target's own does not end its limit.
@@ -372,6 +393,7 @@
         call.onFirstByte, limit.permitEnd(now));
     if (!number)
         return false;
+    m_domainReach.onSent(target->info.failureDomain, now);
     limit.onSent(now);
     target->limitShare.onSent();
     target->load.onSent();
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -19,9 +19,11 @@
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
 #include "mangoshift/connectionshare.h"
+#include "mangoshift/domainreach.h"
 #include "mangoshift/limitshare.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/targetload.h"
+#include "mangoshift/targetpolicies.h"
 #include "mangoshift/targetregistry.h"
 #include "mangoshift/targetstanding.h"
 #include "mangoshift/waitingturns.h"
@@ -123,6 +125,9 @@
     Clock::time_point probesUntil{};
     /// The latest time at which a permit is of use.
     Clock::time_point permitLimit = Clock::time_point::max();
+    /// Whether the call may find out whether a silent failure domain responds again. Another copy
+    /// must be possible if it does not.
+    bool mayProbeDomain = false;
     /// Whether failing targets that are being probed are left out. A part of a fan-out does not
     /// leave them out: without it the other parts may be too few for an answer.
     bool leavesOutEjected = false;
@@ -193,6 +198,9 @@
     /// Sets this VM's name and failure domain. Targets in the same domain are preferred.
     void setVm(const VmId &vm, const std::string &failureDomain);
 
+    /// Sets which sources of knowledge about targets are used.
+    void setPolicies(const TargetPolicies &policies) { m_policies = policies; }
+
     /// Sends a request to a target with a free slot, and prefers targets with a low cost. A
     /// draining target is picked only if the service has no other target and it has been draining
     /// for no longer than a second. `onSent` is called when the request has been given to a target,
@@ -220,7 +228,8 @@
     /// Returns the service of the target that a permit is for; empty if it is not listed any more.
     std::string serviceOf(const HeldPermit &permit) const;
     void onPermits(const PermitReply &reply) { m_permits.onReply(reply); }
-    /// Records that the response to a call is overdue; most come within `usualTime`.
+    /// Records that the response to a call is overdue; most come within `usualTime`. The responses
+    /// that have arrived must have been read.
     void onOverdue(const TargetHandlePtr &target, Clock::duration usualTime, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
     /// `callLatency`; zero if no call waits for its turn. Calls that will be late in any case do
@@ -256,6 +265,11 @@
     /// Returns whether nothing that is known of a target, other than its load, keeps requests from
     /// it.
     static bool isOpen(const TargetHandle &target, Clock::time_point now);
+    /// Leaves out the targets of silent failure domains if there are others that respond.
+    void leaveOutSilent(std::vector<TargetHandlePtr> &handles, bool mayProbe,
+                        Clock::time_point now) const;
+    /// Records a response of a target, which shows that its failure domain can be reached.
+    void onDomainResponse(const TargetHandle &target);
     /// Applies this VM's share of the connections to the targets of all services, or of one.
     void updateConnections();
     void updateConnections(const std::string &service);
@@ -349,6 +363,8 @@
     ConnectionSharers m_sharers;
     RoutingTablePtr m_routing;
     std::set<std::string> m_evacuatedDomains;
+    TargetPolicies m_policies;
+    DomainReach m_domainReach;
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
--- a/src/entry/targetdirectory_outcomes.cpp
+++ b/src/entry/targetdirectory_outcomes.cpp
@@ -24,6 +24,20 @@
     const bool wasFailing = target->load.isFailing();
     target->load.onOverdue(usualTime, now);
     onFailingMayHaveChanged(*target, wasFailing);
+    const std::string &domain = target->info.failureDomain;
+    if (m_policies.avoidsSilentDomains && m_domainReach.onOverdue(domain, target->info.id, now)) {
+        m_metrics.domainSilent.Add({{"failure_domain", domain}}).Set(1);
+        logEvent(LogLevel::Warning, "domain_silent", {{"failure_domain", domain}});
+    }
+}
+
+void TargetDirectory::onDomainResponse(const TargetHandle &target)
+{
+    const std::string &domain = target.info.failureDomain;
+    if (!m_domainReach.onResponse(domain))
+        return;
+    m_metrics.domainSilent.Add({{"failure_domain", domain}}).Set(0);
+    logEvent(LogLevel::Info, "domain_responds", {{"failure_domain", domain}});
 }
 
 void TargetDirectory::recordOutcome(TargetHandle &target, Clock::duration expected,
--- a/test/unit/evacuations_test.cpp
+++ b/test/unit/evacuations_test.cpp
@@ -60,24 +60,25 @@
     std::string serve(const std::string &route)
     {
         std::map<std::string, std::size_t> before;
-        for (const auto &[id, target] : m_targets)
-            before[id] = target->arrived().size();
-        Caller &caller = addCaller();
-        caller.send(route, "r" + std::to_string(++m_requests));
+        for (const auto &[name, target] : m_targets)
+            before[name] = target->arrived().size();
+        const std::string id = "r" + std::to_string(++m_requests);
+        m_caller.send(route, id);
         std::string reached;
         REQUIRE(run([&] {
-            for (const auto &[id, target] : m_targets)
-                if (target->arrived().size() > before[id])
-                    reached = id;
+            for (const auto &[name, target] : m_targets)
+                if (target->arrived().size() > before[name])
+                    reached = name;
             return !reached.empty();
         }));
         target(reached).respond();
-        REQUIRE(runUntilReceived(caller, "HTTP/1.1 200 "));
+        REQUIRE(runUntilReceived(m_caller, "X-Request-Id: " + id + "\r\n"));
         return reached;
     }
 
 private:
     std::map<std::string, PendingTarget *> m_targets;
+    Caller &m_caller = addCaller();
     int m_requests = 0;
 };
 
