Count only overdue responses with none from the domain since the request

Cause: a domain counted as silent when its slow targets were overdue after the others had responded. A response of the domain after the request was sent now shows that it can be reached. A test plays many slow targets beside fast ones.

--- a/include/mangoshift/domainreach.h
+++ b/include/mangoshift/domainreach.h
@@ -16,11 +16,11 @@
 /// links to the domain are cut.
 ///
 /// A domain is silent once responses of `MinOverdueTargets` of its targets are overdue and none of
-/// its targets has responded since the first of them. So a VM need not find out for each target by
-/// itself, which would cost a request of a caller each. Single targets that are slow, paused or
-/// down do not make a domain silent, as the others respond. Any response ends the silence. While it
-/// lasts, one request at a time is sent there to find out whether the domain responds again. Reads
-/// no clock. Not thread safe.
+/// its targets has responded since these requests were sent. So a VM need not find out for each
+/// target by itself, which would cost a request of a caller each. Single targets that are slow,
+/// paused or down do not make a domain silent, as the others respond. Any response ends the
+/// silence. While it lasts, one request at a time is sent there to find out whether the domain
+/// responds again. Reads no clock. Not thread safe.
 class DomainReach
 {
 public:
@@ -32,11 +32,12 @@
     /// requests that can find out.
     static constexpr std::chrono::milliseconds EvidenceLifetime{2000};
 
-    /// Records that the response of a target is overdue. Returns whether the domain is silent from
-    /// now on and was not before.
-    bool onOverdue(const std::string &failureDomain, const TargetId &target, Clock::time_point now);
+    /// Records that the response of a target to a request that was sent at `sentAt` is overdue.
+    /// Returns whether the domain is silent from now on and was not before.
+    bool onOverdue(const std::string &failureDomain, const TargetId &target,
+                   Clock::time_point sentAt, Clock::time_point now);
     /// Records a response of any target of a domain. Returns whether this ends a silence.
-    bool onResponse(const std::string &failureDomain);
+    bool onResponse(const std::string &failureDomain, Clock::time_point now);
     /// Records that a request is sent to a target of a domain.
     void onSent(const std::string &failureDomain, Clock::time_point now);
 
@@ -52,6 +53,7 @@
         /// The targets whose responses are overdue, since the last response from the domain.
         std::set<TargetId> overdue;
         Clock::time_point lastEvidenceAt{};
+        Clock::time_point lastResponseAt{};
         Clock::time_point lastSentAt{};
     };
 
--- a/src/core/domainreach.cpp
+++ b/src/core/domainreach.cpp
@@ -3,9 +3,12 @@
 namespace mangoshift {
 
 bool DomainReach::onOverdue(const std::string &failureDomain, const TargetId &target,
-                            Clock::time_point now)
+                            Clock::time_point sentAt, Clock::time_point now)
 {
     Domain &domain = m_domains[failureDomain];
+    // Other targets have responded meanwhile, so it is this one that is late.
+    if (sentAt <= domain.lastResponseAt)
+        return false;
     const bool wasSilent = isSilent(domain, now);
     if (now - domain.lastEvidenceAt >= EvidenceLifetime)
         domain.overdue.clear();
@@ -15,13 +18,12 @@
     return !wasSilent && isSilent(domain, now);
 }
 
-bool DomainReach::onResponse(const std::string &failureDomain)
+bool DomainReach::onResponse(const std::string &failureDomain, Clock::time_point now)
 {
-    const auto domain = m_domains.find(failureDomain);
-    if (domain == m_domains.end())
-        return false;
-    const bool wasSilent = domain->second.overdue.size() >= MinOverdueTargets;
-    domain->second.overdue.clear();
+    Domain &domain = m_domains[failureDomain];
+    const bool wasSilent = domain.overdue.size() >= MinOverdueTargets;
+    domain.overdue.clear();
+    domain.lastResponseAt = now;
     return wasSilent;
 }
 
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -475,7 +475,7 @@
     const Clock::time_point now = Clock::now();
     if (state.hasFirstCopy || state.isWaiting)
         addToTrace("sent", state.service, target->info.id, state.hasFirstCopy ? "extra" : "waited");
-    state.copies.push_back({target, call, true});
+    state.copies.push_back({target, call, now, true});
     endWait(state, "sent", now);
     state.hasFirstCopy = true;
     m_machine->onStalled(part, false, now);
@@ -568,7 +568,7 @@
 {
     for (const Copy &copy : part.copies)
         if (copy.isPending)
-            m_state.directory.onOverdue(copy.target, m_hedgeDelay, now);
+            m_state.directory.onOverdue(copy.target, m_hedgeDelay, copy.sentAt, now);
 }
 
 void RequestExchange::reportOverdue(const RequestActions &actions)
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -52,6 +52,7 @@
     {
         TargetHandlePtr target;
         CallNumber call = 0;
+        Clock::time_point sentAt{};
         bool isPending = true;
     };
 
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -304,9 +304,9 @@
     // Another target has responded at the address.
     if (!handle || response.status == httpstatus::MisdirectedRequest)
         return;
-    onDomainResponse(*handle);
     const TargetNotice notice = m_adapter.decodeNotice(response);
     const Clock::time_point now = Clock::now();
+    onDomainResponse(*handle, now);
     // A response that is not the target's own does not end its limit.
     const bool isOwn = !isSpoilt(response, m_adapter.headers);
     onLimitNotice(*handle, notice, isOwn ? sentAt : std::nullopt, now);
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -228,9 +228,11 @@
     /// Returns the service of the target that a permit is for; empty if it is not listed any more.
     std::string serviceOf(const HeldPermit &permit) const;
     void onPermits(const PermitReply &reply) { m_permits.onReply(reply); }
-    /// Records that the response to a call is overdue; most come within `usualTime`. The responses
+    /// Records that the response to a call that was sent at `sentAt` is overdue; most come within
+    /// `usualTime`. The responses
     /// that have arrived must have been read.
-    void onOverdue(const TargetHandlePtr &target, Clock::duration usualTime, Clock::time_point now);
+    void onOverdue(const TargetHandlePtr &target, Clock::duration usualTime,
+                   Clock::time_point sentAt, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
     /// `callLatency`; zero if no call waits for its turn. Calls that will be late in any case do
     /// not count, as they get few turns.
@@ -269,7 +271,7 @@
     void leaveOutSilent(std::vector<TargetHandlePtr> &handles, bool mayProbe,
                         Clock::time_point now) const;
     /// Records a response of a target, which shows that its failure domain can be reached.
-    void onDomainResponse(const TargetHandle &target);
+    void onDomainResponse(const TargetHandle &target, Clock::time_point now);
     /// Applies this VM's share of the connections to the targets of all services, or of one.
     void updateConnections();
     void updateConnections(const std::string &service);
--- a/src/entry/targetdirectory_outcomes.cpp
+++ b/src/entry/targetdirectory_outcomes.cpp
@@ -19,22 +19,23 @@
 }
 
 void TargetDirectory::onOverdue(const TargetHandlePtr &target, Clock::duration usualTime,
-                                Clock::time_point now)
+                                Clock::time_point sentAt, Clock::time_point now)
 {
     const bool wasFailing = target->load.isFailing();
     target->load.onOverdue(usualTime, now);
     onFailingMayHaveChanged(*target, wasFailing);
     const std::string &domain = target->info.failureDomain;
-    if (m_policies.avoidsSilentDomains && m_domainReach.onOverdue(domain, target->info.id, now)) {
+    if (m_policies.avoidsSilentDomains
+        && m_domainReach.onOverdue(domain, target->info.id, sentAt, now)) {
         m_metrics.domainSilent.Add({{"failure_domain", domain}}).Set(1);
         logEvent(LogLevel::Warning, "domain_silent", {{"failure_domain", domain}});
     }
 }
 
-void TargetDirectory::onDomainResponse(const TargetHandle &target)
+void TargetDirectory::onDomainResponse(const TargetHandle &target, Clock::time_point now)
 {
     const std::string &domain = target.info.failureDomain;
-    if (!m_domainReach.onResponse(domain))
+    if (!m_domainReach.onResponse(domain, now))
         return;
     m_metrics.domainSilent.Add({{"failure_domain", domain}}).Set(0);
     logEvent(LogLevel::Info, "domain_responds", {{"failure_domain", domain}});
--- a/test/unit/domainreach_test.cpp
+++ b/test/unit/domainreach_test.cpp
@@ -51,10 +51,10 @@
         std::size_t lost = 0;
         for (const std::string &domain : first)
             if (!isCut(domain))
-                m_reach.onResponse(domain);
+                m_reach.onResponse(domain, m_now - 30ms);
         for (std::size_t shard = 0; shard < Shards; ++shard)
             if (isCut(first[shard]))
-                m_reach.onOverdue(first[shard], target(shard), m_now);
+                m_reach.onOverdue(first[shard], target(shard), m_now - 50ms, m_now);
         for (const std::string &domain : first)
             if (isCut(domain) && isCut(pick(domain, false)))
                 ++lost;
@@ -112,7 +112,7 @@
     {
         for (int i = 4; i < 8; ++i)
             state().directory.onOverdue(state().directory.targets().at("i-" + std::to_string(i)),
-                                        50ms, Clock::now());
+                                        50ms, Clock::now(), Clock::now());
     }
     /// Sends a request and returns whether it arrives at a near target.
     bool goesNear(const std::string &route)
@@ -143,39 +143,39 @@
 {
     DomainReach reach;
     for (std::size_t i = 1; i < DomainReach::MinOverdueTargets; ++i)
-        CHECK_FALSE(reach.onOverdue("far", target(i), Start));
+        CHECK_FALSE(reach.onOverdue("far", target(i), Start - 20ms, Start));
 
     SECTION("but not while one of them responds")
     {
-        reach.onResponse("far");
-        CHECK_FALSE(reach.onOverdue("far", target(0), Start));
-        CHECK_FALSE(reach.isSilent("far", Start));
+        reach.onResponse("far", Start);
+        CHECK_FALSE(reach.onOverdue("far", target(0), Start + 1ms, Start + 20ms));
+        CHECK_FALSE(reach.isSilent("far", Start + 20ms));
     }
     SECTION("but not for several overdue responses of one target")
     {
-        CHECK_FALSE(reach.onOverdue("far", target(1), Start));
+        CHECK_FALSE(reach.onOverdue("far", target(1), Start - 20ms, Start));
         CHECK_FALSE(reach.isSilent("far", Start));
     }
     SECTION("but not for targets of another domain")
     {
-        CHECK_FALSE(reach.onOverdue("near", target(0), Start));
+        CHECK_FALSE(reach.onOverdue("near", target(0), Start - 20ms, Start));
         CHECK(reach.silentDomains(Start).empty());
     }
     SECTION("but not for old evidence")
     {
         const auto later = Start + DomainReach::EvidenceLifetime;
-        CHECK_FALSE(reach.onOverdue("far", target(0), later));
+        CHECK_FALSE(reach.onOverdue("far", target(0), later - 20ms, later));
         CHECK_FALSE(reach.isSilent("far", later));
     }
 
     GIVEN("a silent domain")
     {
-        REQUIRE(reach.onOverdue("far", target(0), Start));
+        REQUIRE(reach.onOverdue("far", target(0), Start - 20ms, Start));
         CHECK(reach.isSilent("far", Start));
 
         SECTION("any response ends the silence")
         {
-            CHECK(reach.onResponse("far"));
+            CHECK(reach.onResponse("far", Start));
             CHECK_FALSE(reach.isSilent("far", Start));
         }
         SECTION("one request at a time finds out whether it responds again")
@@ -211,6 +211,19 @@
     CHECK(queries.reach().silentDomains(queries.now()).empty());
 }
 
+// Guards against slow targets being taken for a silent domain: the others had responded before the
+// first of the slow ones was overdue.
+TEST_CASE("A failure domain in which many targets are slow is not silent")
+{
+    DomainReach reach;
+    for (int query = 0; query < 20; ++query) {
+        const Clock::time_point sentAt = Start + 500ms * query;
+        reach.onResponse("far", sentAt + 10ms);
+        for (std::size_t i = 0; i < 20; ++i)
+            CHECK_FALSE(reach.onOverdue("far", target(i), sentAt, sentAt + 30ms));
+    }
+}
+
 TEST_CASE("Requests of a VM that finds another failure domain silent")
 {
     NearAndFar vm;
