--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -79,6 +79,7 @@
             }
             handle.info = target;
             handle.isMisdirected = false;
+            applyEvacuation(handle, now);
             return;
         }
         delist(target.id);
@@ -100,6 +101,7 @@
             onNotice(weak, response, sentAt);
         });
     handle->load.setWarmupEnd(now + target.warmupLeft);
+    handle->isEvacuated = m_evacuatedDomains.contains(target.failureDomain);
     if (target.isDraining)
         handle->drainingSince = now;
     m_byService[target.service].push_back(handle);
@@ -185,6 +187,7 @@
                                                         Clock::time_point now) const
 {
     Candidates found;
+    std::vector<TargetHandlePtr> returning;
     std::vector<TargetHandlePtr> draining;
     const auto it = m_byService.find(call.service);
     if (it == m_byService.end())
@@ -197,6 +200,8 @@
             continue;
         if (handle->standing->isLeaving()) {
             absence.cause = std::max(absence.cause, TargetAbsence::Cause::Leaving);
+        } else if (handle->isEvacuated) {
+            absence.cause = std::max(absence.cause, TargetAbsence::Cause::Evacuated);
         } else if (!handle->standing->mayReceive(now)) {
             absence.cause = std::max(absence.cause, TargetAbsence::Cause::Paused);
             absence.endsAt = std::min(absence.endsAt.value_or(Clock::time_point::max()),
@@ -204,13 +209,16 @@
         } else if (call.leavesOutEjected && handle->load.isEjected()) {
             absence.cause = std::max(absence.cause, TargetAbsence::Cause::Failing);
         } else if (!handle->info.isDraining) {
-            found.handles.push_back(handle);
+            (now < handle->returnsAt ? returning : found.handles).push_back(handle);
         } else if (now - handle->drainingSince < DrainingPickTime) {
             draining.push_back(handle);
         }
     }
+    if (found.handles.empty())
+        found.handles = std::move(returning);
     if (found.handles.empty())
         found.handles = std::move(draining);
+    leaveOutSilent(found.handles, call.mayProbeDomain, now);
     const bool hasPermit = call.permit && !call.permit->isExpired(now);
     const auto isClosed = [&call, now](const TargetHandlePtr &handle) {
         const bool isPermitted =
@@ -235,12 +243,36 @@
     const auto it = m_byService.find(service);
     return it != m_byService.end()
         && std::any_of(it->second.begin(), it->second.end(), [now](const TargetHandlePtr &handle) {
-               return !handle->isMisdirected && !handle->info.isDraining
-                   && !handle->load.isFailing() && handle->standing->mayReceive(now)
+               return isOpen(*handle, now) && !handle->load.isFailing()
                    && !handle->standing->limit().isLimited();
            });
 }
 
+bool TargetDirectory::isOpen(const TargetHandle &target, Clock::time_point now)
+{
+    return !target.isMisdirected && !target.info.isDraining && !target.isEvacuated
+        && now >= target.returnsAt && target.standing->mayReceive(now);
+}
+
+void TargetDirectory::leaveOutSilent(std::vector<TargetHandlePtr> &handles, bool mayProbe,
+                                     Clock::time_point now) const
+{
+    if (!m_policies.avoidsSilentDomains || m_domainReach.silentDomains(now).empty())
+        return;
+    const auto isSilent = [this, mayProbe, now](const TargetHandlePtr &handle) {
+        const std::string &domain = handle->info.failureDomain;
+        return m_domainReach.isSilent(domain, now)
+            && !(mayProbe && m_domainReach.isProbeDue(domain, now));
+    };
+    // Targets that fail themselves are no better than those of a silent domain.
+    const bool hasOthers =
+        std::any_of(handles.begin(), handles.end(), [&isSilent](const TargetHandlePtr &handle) {
+            return !isSilent(handle) && !handle->load.isFailing();
+        });
+    if (hasOthers)
+        std::erase_if(handles, isSilent);
+}
+
 bool TargetDirectory::Candidates::areAllEjected() const
 {
     return !handles.empty() && limited.empty()
@@ -274,6 +306,7 @@
         return;
     const TargetNotice notice = m_adapter.decodeNotice(response);
     const Clock::time_point now = Clock::now();
+    onDomainResponse(*handle, now);
     // A response that is not the target's own does not end its limit.
     const bool isOwn = !isSpoilt(response, m_adapter.headers);
     onLimitNotice(*handle, notice, isOwn ? sentAt : std::nullopt, now);
@@ -360,6 +393,7 @@
         call.onFirstByte, limit.permitEnd(now));
     if (!number)
         return false;
+    m_domainReach.onSent(target->info.failureDomain, now);
     limit.onSent(now);
     target->limitShare.onSent();
     target->load.onSent();
@@ -390,8 +424,8 @@
 std::size_t TargetDirectory::countReachableServices(const std::vector<std::string> &services) const
 {
     const auto isReachable = [](const TargetHandlePtr &handle) {
-        return !handle->isMisdirected && !handle->info.isDraining && !handle->standing->isLeaving()
-            && !handle->load.isUnresponsive();
+        return !handle->isMisdirected && !handle->info.isDraining && !handle->isEvacuated
+            && !handle->standing->isLeaving() && !handle->load.isUnresponsive();
     };
     return static_cast<std::size_t>(
         std::count_if(services.begin(), services.end(), [&](const std::string &service) {
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -18,9 +19,11 @@
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
 #include "mangoshift/connectionshare.h"
+#include "mangoshift/domainreach.h"
 #include "mangoshift/limitshare.h"
 #include "mangoshift/routing.h"
 #include "mangoshift/targetload.h"
+#include "mangoshift/targetpolicies.h"
 #include "mangoshift/targetregistry.h"
 #include "mangoshift/targetstanding.h"
 #include "mangoshift/waitingturns.h"
@@ -42,6 +45,11 @@
     /// Set when another target responded at this target's address, which means that this target no
     /// longer runs there.
     bool isMisdirected = false;
+    /// Whether the operators want nothing sent to targets of this failure domain.
+    bool isEvacuated = false;
+    /// Until when, after an evacuation, the target gets requests only if the service has no other
+    /// target.
+    Clock::time_point returnsAt{};
 
     TargetHandle(asio::io_context &io, RegisteredTarget target,
                  const asio::ip::tcp::endpoint &endpoint, const TargetHeaderNames &names,
@@ -64,6 +72,7 @@
     enum class Cause : std::uint8_t {
         None, ///< No target is known, or each one has been tried.
         Leaving, ///< A target has said that it leaves.
+        Evacuated, ///< The failure domain of a target is evacuated.
         Failing, ///< A target fails, and another request is probing it.
         Limited, ///< A target has named a limit, and no request is left within it.
         Paused, ///< A target has asked for a pause that is too long for the call.
@@ -116,6 +125,9 @@
     Clock::time_point probesUntil{};
     /// The latest time at which a permit is of use.
     Clock::time_point permitLimit = Clock::time_point::max();
+    /// Whether the call may find out whether a silent failure domain responds again. Another copy
+    /// must be possible if it does not.
+    bool mayProbeDomain = false;
     /// Whether failing targets that are being probed are left out. A part of a fan-out does not
     /// leave them out: without it the other parts may be too few for an answer.
     bool leavesOutEjected = false;
@@ -176,11 +188,19 @@
     void apply(const std::vector<RegistryChange> &changes, Clock::time_point now);
     /// Applies the connection limits of a new configuration.
     void setRouting(RoutingTablePtr routing);
+    /// Sets the failure domains to whose targets nothing is sent. Calls that wait for a connection
+    /// there are taken back, requests in flight go on. After an evacuation, targets return at
+    /// random times and with one request at a time, so that the VMs do not all return at once to
+    /// targets that may be cold.
+    void setEvacuatedDomains(std::set<std::string> failureDomains, Clock::time_point now);
     /// Sets the number of VMs that share a target's connections.
     void setFleetSize(std::size_t vms);
     /// Sets this VM's name and failure domain. Targets in the same domain are preferred.
     void setVm(const VmId &vm, const std::string &failureDomain);
 
+    /// Sets which sources of knowledge about targets are used.
+    void setPolicies(const TargetPolicies &policies) { m_policies = policies; }
+
     /// Sends a request to a target with a free slot, and prefers targets with a low cost. A
     /// draining target is picked only if the service has no other target and it has been draining
     /// for no longer than a second. `onSent` is called when the request has been given to a target,
@@ -208,8 +228,11 @@
     /// Returns the service of the target that a permit is for; empty if it is not listed any more.
     std::string serviceOf(const HeldPermit &permit) const;
     void onPermits(const PermitReply &reply) { m_permits.onReply(reply); }
-    /// Records that the response to a call is overdue; most come within `usualTime`.
-    void onOverdue(const TargetHandlePtr &target, Clock::duration usualTime, Clock::time_point now);
+    /// Records that the response to a call that was sent at `sentAt` is overdue; most come within
+    /// `usualTime`. The responses
+    /// that have arrived must have been read.
+    void onOverdue(const TargetHandlePtr &target, Clock::duration usualTime,
+                   Clock::time_point sentAt, Clock::time_point now);
     /// Returns how long another call to a service would wait for a free slot if each call takes
     /// `callLatency`; zero if no call waits for its turn. Calls that will be late in any case do
     /// not count, as they get few turns.
@@ -238,6 +261,17 @@
 private:
     void list(const RegisteredTarget &target, Clock::time_point now);
     void delist(const TargetId &id);
+    /// Starts or ends the evacuation of a target if its failure domain demands it. Returns whether
+    /// it did.
+    bool applyEvacuation(TargetHandle &target, Clock::time_point now);
+    /// Returns whether nothing that is known of a target, other than its load, keeps requests from
+    /// it.
+    static bool isOpen(const TargetHandle &target, Clock::time_point now);
+    /// Leaves out the targets of silent failure domains if there are others that respond.
+    void leaveOutSilent(std::vector<TargetHandlePtr> &handles, bool mayProbe,
+                        Clock::time_point now) const;
+    /// Records a response of a target, which shows that its failure domain can be reached.
+    void onDomainResponse(const TargetHandle &target, Clock::time_point now);
     /// Applies this VM's share of the connections to the targets of all services, or of one.
     void updateConnections();
     void updateConnections(const std::string &service);
@@ -330,6 +364,9 @@
     Metrics &m_metrics;
     ConnectionSharers m_sharers;
     RoutingTablePtr m_routing;
+    std::set<std::string> m_evacuatedDomains;
+    TargetPolicies m_policies;
+    DomainReach m_domainReach;
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
