Share what the VMs of a failure domain see of targets

Cause: one VM sends a target one request in five seconds, so it finds out about a slow, silent or resetting target by itself too late, at the cost of a caller's request each time.

Change: with `share_capacity`, a VM reports unusual observations to the pool owner of its domain (`CapacityRecorder`, frame `CapacityReport`), which merges them (`CapacityPool`) and sends the outlooks that have changed to all VMs that have asked (`CapacityNews`). `TargetLoad::onOutlook` raises the cost of a target or avoids it, never down to a weight of zero. With the setting off nothing is recorded, sent or merged.

The whole of unittests has not been run yet at this commit.

--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -8,6 +8,7 @@
 
 #include "mangoshift/clock.h"
 #include "mangoshift/slotlimit.h"
+#include "mangoshift/targetoutlook.h"
 
 namespace mangoshift {
 
@@ -37,6 +38,10 @@
     /// until it responds, or for a limited time. If it has answered nothing else for as long, the
     /// number of concurrent requests grows from one again.
     void onOverdue(Clock::duration usualTime, Clock::time_point now);
+    /// Takes what the VMs of the failure domain know of the target, which raises its cost until it
+    /// expires. If the target has stopped responding, it is avoided. Responses to this VM's own
+    /// requests that are newer take precedence.
+    void onOutlook(const TargetOutlook &outlook, Clock::time_point now);
     /// Lets the number of concurrent requests grow from one again, for a target that returns.
     void resetLimit() { m_limit.reset(); }
     /// Sets when the target's warm-up ends; until then it counts as slower.
@@ -47,7 +52,18 @@
     void setRelativeCost(double cost) { m_relativeCost = cost; }
 
     /// Returns true while the target should get requests only if there is no other target.
-    bool isAvoided(Clock::time_point now) const { return now < m_avoidUntil; }
+    bool isAvoided(Clock::time_point now) const
+    {
+        return isAvoidedAfterStall(now) || isAvoidedByOutlook(now);
+    }
+    /// Returns true while the target is avoided for what this VM itself has seen of it.
+    bool isAvoidedAfterStall(Clock::time_point now) const { return now < m_avoidUntil; }
+    /// Returns true while the failure domain says that the target does not respond, and no response
+    /// to this VM contradicts it. It still gets a few requests, which find out when it responds.
+    bool isAvoidedByOutlook(Clock::time_point now) const
+    {
+        return m_outlook.isUnresponsive && now < m_outlookUntil;
+    }
     /// Returns true from a lost or overdue request until the next response.
     bool isUnresponsive() const { return m_consecutiveFailures > 0; }
     /// Returns true if several consecutive requests got no response; one may be due to a pause.
@@ -67,6 +83,9 @@
 
 private:
     void startAvoidance(Clock::time_point now);
+    /// Returns how many times as much a request costs as at a target that is as busy: by the
+    /// slowness that this VM has measured, and by the outlook.
+    double slownessWithOutlook(Clock::time_point now) const;
 
     SlotLimit m_limit;
     Clock::time_point m_lastAnswerAt{};
@@ -76,6 +95,8 @@
     std::uint32_t m_consecutiveFailures = 0;
     Clock::time_point m_avoidUntil{};
     Clock::time_point m_warmupEnd{};
+    TargetOutlook m_outlook;
+    Clock::time_point m_outlookUntil{};
 };
 
 /// Picks a target at random, with a weight that falls with the square of its cost. Avoided targets
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -79,6 +79,11 @@
                  "Time in which a limited target got nothing of the requests it could have taken"))
     , permitAsks(counters(*m_registry, "mangoshift_permit_asks_total",
                           "Requests for permits to send to limited targets"))
+    , capacityReports(counters(*m_registry, "mangoshift_capacity_reports_total",
+                               "Reports about targets between the VMs of a failure domain"))
+    , targetsUnresponsive(gauges(*m_registry, "mangoshift_targets_unresponsive",
+                                 "Targets that the VMs of this failure domain say do not respond")
+                              .Add({}))
     , domainSilent(gauges(*m_registry, "mangoshift_domain_silent",
                           "One while the targets of a failure domain have stopped responding"))
     , domainEvacuated(gauges(*m_registry, "mangoshift_domain_evacuated",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -85,6 +85,11 @@
     prometheus::Family<prometheus::Gauge> &targetLimitUnused;
     /// Requests for permits to send to limited targets, by `outcome` (`granted`, `denied`).
     prometheus::Family<prometheus::Counter> &permitAsks;
+    /// Reports about targets between the VMs of a failure domain, by `outcome`: `sent`, `asked`
+    /// (sent without observations), `merged` (received as the pool owner), `ignored`.
+    prometheus::Family<prometheus::Counter> &capacityReports;
+    /// Targets that the failure domain's VMs say do not respond.
+    prometheus::Gauge &targetsUnresponsive;
     /// By `failure_domain`: 1 while its targets do not respond, 0 after that.
     prometheus::Family<prometheus::Gauge> &domainSilent;
     /// By `failure_domain`: 1 while nothing is sent to its targets, 0 after that.
--- a/src/core/targetload.cpp
+++ b/src/core/targetload.cpp
@@ -30,6 +30,12 @@
 /// more requests; responses at or beyond `TooLateRatio` times show that it has not.
 constexpr double InTimeRatio = 1.3;
 constexpr double TooLateRatio = 2.0;
+/// The most by which an outlook multiplies the cost. As weights fall with the square of the cost,
+/// a target then gets about a tenth of its usual requests, some one in two seconds from the VMs of
+/// a domain, so that they find out that it has recovered.
+constexpr double MaxOutlookCost = 5.0;
+/// A request that is lost costs as much as this many more, as it delays or fails its caller.
+constexpr double LossCost = 8.0;
 
 } // namespace
 
@@ -40,6 +46,7 @@
     m_lastAnswerAt = now;
     m_consecutiveFailures = 0;
     m_avoidUntil = std::min(m_avoidUntil, now);
+    m_outlook.isUnresponsive = false;
     if (expected.count() <= 0)
         return;
     const double ratio =
@@ -55,6 +62,7 @@
 {
     --m_inFlight;
     m_limit.onShed(now);
+    m_outlook.isUnresponsive = false;
     m_avoidUntil = std::max(m_avoidUntil, now + RefusalAvoidance);
 }
 
@@ -81,6 +89,34 @@
     m_avoidUntil = std::max(m_avoidUntil, now + std::min<Clock::duration>(avoidance, MaxAvoidance));
 }
 
+void TargetLoad::onOutlook(const TargetOutlook &outlook, Clock::time_point now)
+{
+    const bool isValid = std::isfinite(outlook.slowness) && outlook.slowness > 0.0
+        && outlook.lossRate >= 0.0 && outlook.lossRate <= 1.0 && outlook.weight >= 0.0
+        && std::isfinite(outlook.weight) && outlook.age.count() >= 0;
+    if (!isValid || outlook.age >= TargetOutlook::Lifetime)
+        return;
+    m_outlook = outlook;
+    m_outlookUntil = now - outlook.age + TargetOutlook::Lifetime;
+    if (m_lastAnswerAt != Clock::time_point() && m_lastAnswerAt >= now - outlook.age)
+        m_outlook.isUnresponsive = false;
+}
+
+double TargetLoad::slownessWithOutlook(Clock::time_point now) const
+{
+    if (now >= m_outlookUntil)
+        return m_slowness;
+    const double ownWeight =
+        m_lastAnswerAt == Clock::time_point() ? 0.0 : outlookDecay(now - m_lastAnswerAt);
+    const double weight =
+        m_outlook.weight * outlookDecay(now - (m_outlookUntil - TargetOutlook::Lifetime));
+    const double share = weight <= 0.0 ? 0.0 : weight / (weight + ownWeight);
+    const double slowness =
+        std::exp((1.0 - share) * std::log(m_slowness) + share * std::log(m_outlook.slowness));
+    return std::clamp(slowness * (1.0 + LossCost * m_outlook.lossRate), MinSlowness,
+                      m_slowness * MaxOutlookCost);
+}
+
 bool TargetLoad::isFailing() const
 {
     return m_consecutiveFailures >= FailuresUntilFailing;
@@ -88,7 +124,7 @@
 
 double TargetLoad::cost(Clock::time_point now) const
 {
-    return (m_inFlight + 1.0) * m_slowness * m_relativeCost
+    return (m_inFlight + 1.0) * slownessWithOutlook(now) * m_relativeCost
         * (now < m_warmupEnd ? WarmupCost : 1.0);
 }
 
@@ -102,9 +138,10 @@
     std::vector<double> weights(targets.size(), 0.0);
     double total = 0.0;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        if (hasUnavoided && targets[i]->isAvoided(now))
+        if (hasUnavoided && targets[i]->isAvoidedAfterStall(now))
             continue;
-        const double cost = targets[i]->cost(now);
+        const double cost =
+            targets[i]->cost(now) * (targets[i]->isAvoidedByOutlook(now) ? MaxOutlookCost : 1.0);
         weights[i] = 1.0 / (cost * cost);
         total += weights[i];
     }
--- a/src/duties/messages.h
+++ b/src/duties/messages.h
@@ -14,6 +14,7 @@
 #include "mangoshift/members.h"
 #include "mangoshift/outcome.h"
 #include "mangoshift/querymachine.h"
+#include "mangoshift/targetoutlook.h"
 #include "wire/framecodec.h"
 
 namespace mangoshift {
@@ -192,6 +193,19 @@
     std::vector<PermitOutcome> outcomes;
 };
 
+/// What this VM has observed of targets, for the capacity pool of its failure domain. Without
+/// observations it only asks for the outlooks.
+struct CapacityObservations
+{
+    std::vector<TargetObservation> targets;
+};
+
+/// What the capacity pool says of targets.
+struct CapacityOutlooks
+{
+    std::vector<TargetOutlook> targets;
+};
+
 /// Replaces the addresses of the VMs that are contacted first in order to join.
 struct SeedsChanged
 {
@@ -215,7 +229,8 @@
 using PeerMessage = std::variant<SendToVm, SendOnLink, MembersChanged, StateRequest>;
 using ControlMessage = std::variant<ControlFrame, PlatformDocument, PlatformList, ProcessPaused,
                                     StartLeaving, StateRequest>;
-using RegistryMessage = std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, BudgetRequest,
-                                     PermitRequest, SeedsChanged, PingOtherDomains, StartLeaving>;
+using RegistryMessage =
+    std::variant<StateRequest, ControlFrame, PeerLost, LinkLost, BudgetRequest, PermitRequest,
+                 CapacityObservations, SeedsChanged, PingOtherDomains, StartLeaving>;
 
 } // namespace mangoshift
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -38,6 +38,15 @@
     return limit.value() ? nlohmann::json(*limit.value()) : nlohmann::json();
 }
 
+nlohmann::json outlookJson(const TargetOutlook &outlook)
+{
+    return {{"slowness", outlook.slowness},
+            {"loss_rate", outlook.lossRate},
+            {"weight", outlook.weight},
+            {"unresponsive", outlook.isUnresponsive},
+            {"age_ms", outlook.age.count()}};
+}
+
 } // namespace
 
 EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
@@ -62,6 +71,7 @@
 {
     m_state.directory.setVm(settings.vm, settings.failureDomain);
     m_state.directory.setPolicies(settings.targetPolicies);
+    m_state.directory.setReportCapacity(sinks.reportCapacity);
 }
 
 EntryDuty::~EntryDuty()
@@ -129,6 +139,13 @@
         logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
 }
 
+void EntryDuty::onOutlooks(CapacityOutlooks outlooks)
+{
+    // The pool sends outlooks again while they matter.
+    if (!m_duty.tryPost(std::move(outlooks)))
+        logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
+}
+
 void EntryDuty::onOtherDomainContact()
 {
     m_duty.postLatest(OtherDomainContact{});
@@ -168,6 +185,9 @@
                    [this](FleetSize &fleet) { m_state.growFleet(fleet.vms); },
                    [this](BudgetGrants &grants) { m_state.budgets.onGrants(grants); },
                    [this](PermitReply &reply) { m_state.directory.onPermits(reply); },
+                   [this](CapacityOutlooks &outlooks) {
+                       m_state.directory.onOutlooks(outlooks, Clock::now());
+                   },
                    [this](ReloadableSettings &settings) {
                        m_state.replyMargin = settings.replyMargin;
                        m_state.budgets.setTerms(settings.retryBudget);
@@ -448,7 +468,7 @@
     state["log_lines_left_out"] = droppedLogLines();
     state["log_lines_left_out_by_event"] = droppedLogLinesByEvent();
     const Clock::time_point now = Clock::now();
-    for (const auto &[id, handle] : m_state.directory.targets())
+    for (const auto &[id, handle] : m_state.directory.targets()) {
         state["targets"][id] = {{"service", handle->info.service},
                                 {"in_flight", handle->load.inFlight()},
                                 {"limit", handle->load.limit()},
@@ -461,6 +481,9 @@
                                 {"paused", !handle->standing->mayReceive(now)},
                                 {"limit_per_s", limitJson(handle->standing->limit())},
                                 {"permits", handle->standing->limit().permits(now)}};
+        if (const auto outlook = m_state.directory.outlook(*handle, now))
+            state["targets"][id]["outlook"] = outlookJson(*outlook);
+    }
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {
             {"samples", route.partLatencies.samples()},
--- a/src/entry/entryduty.h
+++ b/src/entry/entryduty.h
@@ -33,6 +33,9 @@
     /// Sends a request for permits to the limit pool. The reply arrives through
     /// `EntryDuty::onPermits`.
     PermitRequests::RequestFromPool requestPermits;
+    /// Sends what this VM has observed of targets to the capacity pool. What the pool knows arrives
+    /// through `EntryDuty::onOutlooks`.
+    TargetDirectory::ReportCapacity reportCapacity;
     /// Pings VMs of other failure domains. Each reply is reported to
     /// `EntryDuty::onOtherDomainContact`.
     std::function<void()> pingOtherDomains;
@@ -70,6 +73,7 @@
     void setFleetSize(std::size_t vms);
     void onBudgetGrants(BudgetGrants grants);
     void onPermits(PermitReply reply);
+    void onOutlooks(CapacityOutlooks outlooks);
     /// Reports contact with a VM of another failure domain.
     void onOtherDomainContact();
     /// Applies the settings that can change in a running process.
@@ -113,8 +117,8 @@
         Clock::time_point deadline;
     };
     using Message = std::variant<RoutingChanged, TargetsChanged, EvacuationsChanged, RegistryListed,
-                                 FleetSize, BudgetGrants, PermitReply, ReloadableSettings,
-                                 OtherDomainContact, Leave, StateRequest>;
+                                 FleetSize, BudgetGrants, PermitReply, CapacityOutlooks,
+                                 ReloadableSettings, OtherDomainContact, Leave, StateRequest>;
 
     void handle(Message &message);
     CallerEvents callerEvents();
--- a/src/entry/entryvm.cpp
+++ b/src/entry/entryvm.cpp
@@ -36,10 +36,10 @@
         if (!m_registry->tryPost(std::move(message)))
             logEvent(LogLevel::Error, "ring_full", {{"duty", "registry"}});
     };
-    m_entry = std::make_unique<EntryDuty>(m_settings, m_adapter, m_metrics,
-                                          EntrySinks{postToRegistry, postToRegistry, [this] {
-                                                         m_registry->postLatest(PingOtherDomains{});
-                                                     }});
+    m_entry = std::make_unique<EntryDuty>(
+        m_settings, m_adapter, m_metrics,
+        EntrySinks{postToRegistry, postToRegistry, postToRegistry,
+                   [this] { m_registry->postLatest(PingOtherDomains{}); }});
     m_registry =
         std::make_unique<RegistryDuty>(m_settings, m_self, m_adapter, registrySinks(), m_metrics);
     if (m_settings.peerAddress)
@@ -75,6 +75,9 @@
     sinks.onFleetSize = [this](std::size_t vms) { m_entry->setFleetSize(vms); };
     sinks.onGrants = [this](BudgetGrants grants) { m_entry->onBudgetGrants(std::move(grants)); };
     sinks.onPermits = [this](PermitReply reply) { m_entry->onPermits(std::move(reply)); };
+    sinks.onOutlooks = [this](CapacityOutlooks outlooks) {
+        m_entry->onOutlooks(std::move(outlooks));
+    };
     sinks.onOtherDomainContact = [this] { m_entry->onOtherDomainContact(); };
     sinks.onMembers = [this](MemberViewPtr members) {
         m_peers->postLatest(MembersChanged{std::move(members)});
--- a/src/entry/registryduty.cpp
+++ b/src/entry/registryduty.cpp
@@ -74,6 +74,8 @@
              {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onGrants})
     , m_permits(m_self, settings.failureDomains.size(),
                 {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onPermits})
+    , m_capacity(m_self, settings.targetPolicies.sharesCapacity,
+                 {m_sinks.sendToVm, m_sinks.sendOnLink, m_sinks.onOutlooks}, metrics)
     , m_pendingPulls(m_duty.io(), [this](const PendingStatePull &pull) { replyToPull(pull); })
     , m_memberTick(m_duty.io())
     , m_fetchTimer(m_duty.io())
@@ -114,28 +116,31 @@
 void RegistryDuty::handle(RegistryMessage &message)
 {
     std::visit(
-        Overloaded{[this](StateRequest &request) { request.reply(stateJson()); },
-                   [this](ControlFrame &each) { onFrame(each); },
-                   [this](PeerLost &lost) {
-                       if (m_follower.source() == StoreSource(FromPeer{lost.vm}))
-                           onPeerFailure("lost");
-                   },
-                   [this](BudgetRequest &request) { m_pool.requestExtras(request, Clock::now()); },
-                   [this](PermitRequest &request) { m_permits.request(request, Clock::now()); },
-                   [this](SeedsChanged &seeds) {
-                       if (m_members)
-                           m_members->onMemberList(membersFromSeeds(seeds.addresses), Clock::now());
-                   },
-                   [this](PingOtherDomains &) {
-                       if (m_members)
-                           m_members->pingOtherDomains();
-                   },
-                   [this](LinkLost &lost) { m_pendingPulls.onLinkLost(lost.link); },
-                   [this](StartLeaving &) {
-                       m_permits.onLeaving(Clock::now());
-                       if (m_members)
-                           m_members->leave();
-                   }},
+        Overloaded{
+            [this](StateRequest &request) { request.reply(stateJson()); },
+            [this](ControlFrame &each) { onFrame(each); },
+            [this](PeerLost &lost) {
+                if (m_follower.source() == StoreSource(FromPeer{lost.vm}))
+                    onPeerFailure("lost");
+            },
+            [this](BudgetRequest &request) { m_pool.requestExtras(request, Clock::now()); },
+            [this](PermitRequest &request) { m_permits.request(request, Clock::now()); },
+            [this](CapacityObservations &report) { m_capacity.report(report, Clock::now()); },
+            [this](SeedsChanged &seeds) {
+                if (m_members)
+                    m_members->onMemberList(membersFromSeeds(seeds.addresses), Clock::now());
+            },
+            [this](PingOtherDomains &) {
+                if (m_members)
+                    m_members->pingOtherDomains();
+            },
+            [this](LinkLost &lost) { m_pendingPulls.onLinkLost(lost.link); },
+            [this](StartLeaving &) {
+                m_permits.onLeaving(Clock::now());
+                m_capacity.onLeaving();
+                if (m_members)
+                    m_members->leave();
+            }},
         message);
 }
 
@@ -149,6 +154,7 @@
         const AtExit next([this] { armMemberTick(); });
         m_members->onTick();
         m_permits.onTick(Clock::now());
+        m_capacity.onTick(Clock::now());
         if (m_storeView.hasState())
             m_metrics.stateAge.Set(
                 std::chrono::duration<double>(Clock::now() - m_storeView.lastContact()).count());
@@ -403,6 +409,8 @@
     state["heard_ms_ago"] = wholeMilliseconds(Clock::now() - m_storeView.lastContact()).count();
     state["peers_waiting"] = m_pendingPulls.size();
     state["limit_pool_owner"] = m_permits.owner();
+    if (m_settings.targetPolicies.sharesCapacity)
+        state["capacity_pool_owner"] = m_capacity.owner();
     if (m_members)
         state["members"] = m_members->stateJson();
     return jsonText(state);
--- a/src/entry/registryduty.h
+++ b/src/entry/registryduty.h
@@ -17,6 +17,7 @@
 #include "base/metrics.h"
 #include "duties/memberexchange.h"
 #include "duties/messages.h"
+#include "entry/capacityaccess.h"
 #include "entry/entrysettings.h"
 #include "entry/pendingstatepulls.h"
 #include "entry/permitaccess.h"
@@ -48,6 +49,7 @@
     std::function<void()> onOtherDomainContact;
     std::function<void(BudgetGrants)> onGrants;
     std::function<void(PermitReply)> onPermits;
+    std::function<void(CapacityOutlooks)> onOutlooks;
     std::function<void(const VmId &, FramePtr)> sendToVm;
     std::function<void(LinkId, FramePtr)> sendOnLink;
 };
@@ -138,6 +140,7 @@
     std::unique_ptr<MemberExchange> m_members;
     PoolAccess m_pool;
     PermitAccess m_permits;
+    CapacityAccess m_capacity;
     PendingStatePulls m_pendingPulls;
     Timer m_memberTick;
     Timer m_fetchTimer;
--- a/src/entry/registryduty_peers.cpp
+++ b/src/entry/registryduty_peers.cpp
@@ -38,7 +38,8 @@
     } else if (wire::StateReplyT *reply = message.frame->body.AsStateReply()) {
         onPeerState(*reply);
     } else if (!m_pool.onFrame(message.link, *message.frame, Clock::now())
-               && !m_permits.onFrame(message.link, *message.frame, Clock::now()) && m_members) {
+               && !m_permits.onFrame(message.link, *message.frame, Clock::now())
+               && !m_capacity.onFrame(message.link, *message.frame, Clock::now()) && m_members) {
         m_members->onFrame(message.link, *message.frame);
     }
 }
@@ -50,6 +51,7 @@
     m_follower.setMembers(std::move(view));
     m_pool.onMembers(m_members->membership(), Clock::now());
     m_permits.onMembers(m_members->membership().view(), Clock::now());
+    m_capacity.onMembers(m_members->membership().view());
     // A VM that is starting fetches the state from the first VM that it discovers.
     if (!m_follower.hasState())
         fetchNext();
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -417,6 +417,7 @@
     }
     requestSharesOfLimits(now);
     updateLimitMetrics(now);
+    reportCapacity(now);
     std::erase_if(m_retired,
                   [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
 }
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -18,6 +18,7 @@
 #include "entry/permitrequests.h"
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
+#include "mangoshift/capacityrecorder.h"
 #include "mangoshift/connectionshare.h"
 #include "mangoshift/domainreach.h"
 #include "mangoshift/limitshare.h"
@@ -181,6 +182,9 @@
 class TargetDirectory
 {
 public:
+    /// Sends what this VM has observed of targets to the capacity pool.
+    using ReportCapacity = std::function<void(CapacityObservations)>;
+
     /// `fleetSize` is the number of VMs that share a target's connections.
     TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
                     std::size_t fleetSize, PermitRequests::RequestFromPool requestFromPool);
@@ -200,6 +204,18 @@
 
     /// Sets which sources of knowledge about targets are used.
     void setPolicies(const TargetPolicies &policies) { m_policies = policies; }
+    /// Sets the receiver of reports for the capacity pool. Without it none are made.
+    void setReportCapacity(ReportCapacity reportCapacity)
+    {
+        m_reportCapacity = std::move(reportCapacity);
+    }
+    /// Takes what the VMs of the failure domain know of targets. Unknown targets are ignored.
+    void onOutlooks(const CapacityOutlooks &outlooks, Clock::time_point now);
+    /// Returns what the failure domain knows of a target; no value if there is no outlook.
+    std::optional<TargetOutlook> outlook(const TargetHandle &target, Clock::time_point now) const
+    {
+        return m_recorder.outlook(target.limitKey, now);
+    }
 
     /// Sends a request to a target with a free slot, and prefers targets with a low cost. A
     /// draining target is picked only if the service has no other target and it has been draining
@@ -334,6 +350,10 @@
     /// Records how a call ended.
     void recordOutcome(TargetHandle &target, Clock::duration expected,
                        const TargetCallResult &reply, Clock::time_point now);
+    /// Records what a call has shown of a target for the capacity pool, if that is used.
+    void recordForPool(const TargetHandle &target, Clock::duration expected,
+                       const TargetCallResult &reply, Clock::time_point now);
+    void reportCapacity(Clock::time_point now);
     /// Marks a target whose address now belongs to another target.
     static void onMisdirected(TargetHandle &target, Clock::time_point now);
     /// Starts to wait with a call. Returns why it cannot get its turn in time instead.
@@ -367,6 +387,8 @@
     std::set<std::string> m_evacuatedDomains;
     TargetPolicies m_policies;
     DomainReach m_domainReach;
+    CapacityRecorder m_recorder;
+    ReportCapacity m_reportCapacity;
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
--- a/src/entry/targetdirectory_outcomes.cpp
+++ b/src/entry/targetdirectory_outcomes.cpp
@@ -23,6 +23,8 @@
 {
     const bool wasFailing = target->load.isFailing();
     target->load.onOverdue(usualTime, now);
+    if (m_policies.sharesCapacity)
+        m_recorder.onOverdue(target->limitKey, now);
     onFailingMayHaveChanged(*target, wasFailing);
     const std::string &domain = target->info.failureDomain;
     if (m_policies.avoidsSilentDomains
@@ -44,6 +46,7 @@
 void TargetDirectory::recordOutcome(TargetHandle &target, Clock::duration expected,
                                     const TargetCallResult &reply, Clock::time_point now)
 {
+    recordForPool(target, expected, reply, now);
     TargetLoad &load = target.load;
     switch (reply.end) {
     case TargetCallResult::End::Responded:
--- a/src/wire/framecodec.cpp
+++ b/src/wire/framecodec.cpp
@@ -61,6 +61,10 @@
         return areStructsAligned(frame.body_as_LoanRequest()->targets());
     case wire::Body::LoanReply:
         return areStructsAligned(frame.body_as_LoanReply()->loans());
+    case wire::Body::CapacityReport:
+        return areStructsAligned(frame.body_as_CapacityReport()->observations());
+    case wire::Body::CapacityNews:
+        return areStructsAligned(frame.body_as_CapacityNews()->outlooks());
     default:
         return true;
     }
