Check a configuration for unused entries, contradictions and differences

`mangoshift check` checked each file only for faults that VMs reject. Entries that can never be used and limits that contradict each other went out unnoticed, and nothing showed what a new version changes. The routing document of the platform could not be checked at all.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -17,6 +17,16 @@
             }};
 }
 
+CommandOption flagOption(const char *name, char letter, bool &flag)
+{
+    return {name, letter,
+            [&flag](const char *) {
+                flag = true;
+                return true;
+            },
+            false};
+}
+
 int usageError(const char *usage)
 {
     std::fputs(usage, stderr);
@@ -29,8 +39,11 @@
     std::vector<option> longOptions;
     std::string letters = "h";
     for (const CommandOption &each : options) {
-        longOptions.push_back({each.name, required_argument, nullptr, each.letter});
-        letters += {each.letter, ':'};
+        longOptions.push_back(
+            {each.name, each.hasArgument ? required_argument : no_argument, nullptr, each.letter});
+        letters += each.letter;
+        if (each.hasArgument)
+            letters += ':';
     }
     longOptions.push_back({"help", no_argument, nullptr, 'h'});
     longOptions.push_back({nullptr, 0, nullptr, 0});
--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -8,7 +8,7 @@
 
 namespace mangoshift {
 
-/// An option of a subcommand that requires an argument.
+/// An option of a subcommand.
 struct CommandOption
 {
     const char *name;
@@ -16,12 +16,18 @@
     /// Called with the argument each time the option is given. Returns false if the argument is
     /// invalid.
     std::function<bool(const char *argument)> setArgument;
+    /// Whether the option requires an argument. If not, `setArgument` is called with a null
+    /// pointer.
+    bool hasArgument = true;
 };
 
 /// Returns an option that stores its argument in `text`, which must outlive the option. If the
 /// option is repeated, the last argument is kept.
 CommandOption textOption(const char *name, char letter, std::string &text);
 
+/// Returns an option without an argument that sets `flag`, which must outlive the option.
+CommandOption flagOption(const char *name, char letter, bool &flag);
+
 /// Prints the usage text on standard error and returns `ExitUsage`.
 int usageError(const char *usage);
 
--- a/src/app/commands.cpp
+++ b/src/app/commands.cpp
@@ -7,7 +7,7 @@
     static const std::vector<Command> all{
         {"entry", "run an entry VM on a platform with a store", entryMain},
         {"serve", "run an entry VM", serveMain},
-        {"check", "validate settings or the operators' document", checkMain},
+        {"check", "validate settings or a configuration before it is sent", checkMain},
         {"query", "send a query as a caller does", queryMain},
         {"submit", "run a request at most once, as a caller does", submitMain},
         {"state", "print the state dump of a running VM", stateMain},
--- a/src/entry/requestexchange.cpp
+++ b/src/entry/requestexchange.cpp
@@ -16,8 +16,6 @@
 
 using std::chrono::milliseconds;
 
-/// The latency quantile of the route's recent parts after which a part is hedged.
-constexpr double HedgeQuantile = 0.9;
 /// How many samples the quantile needs.
 constexpr std::uint32_t MinHedgeSamples = 30;
 /// Bounds of the hedge delay as shares of the route's latency target: a hedge must have time to
--- a/src/entry/requestexchange.h
+++ b/src/entry/requestexchange.h
@@ -15,6 +15,9 @@
 
 namespace mangoshift {
 
+/// The latency quantile of the route's recent parts after which a part is hedged.
+constexpr double HedgeQuantile = 0.9;
+
 /// Processes one caller's request from the filters to the final response.
 ///
 /// Performs the actions of a `RequestMachine`: picks targets, sends requests, classifies replies,
--- a/test/system/commands_test.cpp
+++ b/test/system/commands_test.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 
 #include <catch2/catch.hpp>
@@ -19,6 +20,26 @@
     return Process("mangoshift", arguments, "/dev/null").wait();
 }
 
+/// A new folder that is removed at the end of a test.
+class TemporaryFolder
+{
+public:
+    TemporaryFolder()
+        : m_path(std::filesystem::temp_directory_path() / "mangoshift-check-XXXXXX")
+    {
+        if (mkdtemp(m_path.data()) == nullptr)
+            throw std::runtime_error("cannot create a temporary folder");
+    }
+    ~TemporaryFolder() { std::filesystem::remove_all(m_path); }
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    const std::string &path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
 /// Writes the run.json that deploy/run.py would write, so that a trace can be replayed against the
 /// processes of the test.
 void writeRunFile(Deployment &deployment)
@@ -75,6 +96,50 @@
         CHECK(exitStatusOf({"check", "--entry-settings", document}) == ExitFault);
         CHECK(exitStatusOf({"check", "--document", document + ".missing"}) == ExitFailure);
     }
+    SECTION(
+        "check compares a configuration with the one in force, and prints what it finds as JSON")
+    {
+        // Guards against exit statuses and fields that scripts rely on before they send a change.
+        TemporaryFolder folder;
+        const auto write = [&folder](const std::string &name, const Json &json) {
+            std::ofstream(folder.path() + "/" + name) << json.dump();
+            return folder.path() + "/" + name;
+        };
+        Json routing = Json::parse(
+            R"({"version": 1, "services": [{"name": "s", "max_conns": 2}], "routes": [
+                {"name": "r", "host": "h", "prefix": "/", "kind": "safe", "timeout_ms": 100,
+                 "target_latency_ms": 50, "priority": 1, "max_attempts": 1, "service": "s"}]})");
+        const std::string current = write("current.json", routing);
+        routing["version"] = 2;
+        routing["routes"][0]["max_attempts"] = 0;
+        const std::string warned = write("warned.json", routing);
+        routing["routes"][0]["target_latency_ms"] = 101;
+        const std::string wrong = write("wrong.json", routing);
+        const std::string document = sourcePath("deploy/rozova/document.json");
+
+        CHECK(exitStatusOf({"check", "--routing", current, "--against", current}) == ExitOk);
+        CHECK(exitStatusOf({"check", "--routing", warned, "--against", current}) == ExitOk);
+        CHECK(exitStatusOf({"check", "--document", document, "--against", document}) == ExitOk);
+        CHECK(exitStatusOf({"check", "--routing", document}) == ExitFault);
+        CHECK(exitStatusOf({"check", "--routing", current, "--against", document}) == ExitFault);
+        CHECK(exitStatusOf({"check", "--against", current}) == ExitUsage);
+        CHECK(exitStatusOf({"check", "--routing", current, "--against", current + ".missing"})
+              == ExitFailure);
+        const std::string output = folder.path() + "/output.json";
+        CHECK(Process("mangoshift", {"check", "--json", "-r", wrong, "-a", current}, output).wait()
+              == ExitFault);
+        const Json results = Json::parse(*readFile(output));
+        REQUIRE(results.size() == 1);
+        CHECK(results[0]["file"] == wrong);
+        CHECK(results[0]["findings"][0]["severity"] == "warning");
+        CHECK(results[0]["findings"][0]["place"] == "/routes/0/max_attempts");
+        CHECK(results[0]["findings"][1]["severity"] == "error");
+        CHECK(results[0]["findings"][1]["kind"] == "contradiction");
+        CHECK(results[0]["differences"] == Json::parse(R"([
+                  {"place": "document", "field": "version", "before": "1", "after": "2"},
+                  {"place": "route r", "field": "latency target", "before": "50 ms",
+                   "after": "101 ms"}])"));
+    }
     SECTION("state fails if nothing listens at the address")
     {
         CHECK(exitStatusOf({"state", "--of", "127.0.0.1:1"}) == ExitFailure);
--- a/test/unit/commandline_test.cpp
+++ b/test/unit/commandline_test.cpp
@@ -9,6 +9,7 @@
 {
     std::string to;
     std::vector<std::string> each;
+    bool flag = false;
     const auto read = [&](std::vector<std::string> words) {
         words.insert(words.begin(), "query");
         std::vector<char *> argv;
@@ -21,8 +22,9 @@
         };
         const int argc = static_cast<int>(argv.size());
         argv.push_back(nullptr);
-        return readCommandLine(argc, argv.data(), "Usage\n",
-                               {textOption("to", 't', to), {"each", 'e', setArgument}});
+        return readCommandLine(
+            argc, argv.data(), "Usage\n",
+            {textOption("to", 't', to), {"each", 'e', setArgument}, flagOption("flag", 'f', flag)});
     };
     SECTION("options are accepted in long and short form, and operands are returned")
     {
@@ -32,6 +34,14 @@
         CHECK(to == "b");
         CHECK(each == std::vector<std::string>{"1", "2"});
     }
+    SECTION("an option without an argument leaves the word after it to the operands")
+    {
+        for (const char *option : {"--flag", "-f"}) {
+            flag = false;
+            CHECK(read({option, "x"}) == std::vector<std::string>{"x"});
+            CHECK(flag);
+        }
+    }
     SECTION("help ends the subcommand with success")
     {
         CHECK(read({"--help"}).error() == ExitOk);
