Name a constant and build a place as the lint requires, and test equal times

clang-tidy reported a constant's case and a string concatenation in the check of a configuration. A latency target equal to the timeout is now tested to be no finding.

--- a/src/app/check.cpp
+++ b/src/app/check.cpp
@@ -195,11 +195,11 @@
     void checkFile(const std::string &path, Parse parse, Check check)
     {
         using Parsed = typename decltype(parse(path))::value_type;
-        constexpr bool IsConfiguration =
+        constexpr bool isConfiguration =
             std::is_same_v<Parsed, Document> || std::is_same_v<Parsed, RoutingDocument>;
         std::optional<Parsed> current;
         Findings faultsInForce;
-        if (IsConfiguration && !m_options.against.empty()) {
+        if (isConfiguration && !m_options.against.empty()) {
             const auto text = read(m_options.against);
             if (!text)
                 return;
--- a/src/core/configdifferences.cpp
+++ b/src/core/configdifferences.cpp
@@ -134,6 +134,7 @@
 {
     const auto &[name, kind, deadline, partialAnswers, shards] = service;
     const std::string place = "service " + name;
+    const std::string shardPlace = place + ", shard ";
     entries[place] = {{"kind", document.kinds[kind].name},
                       {"deadline", textOf(deadline)},
                       {"partial answers", textOf(partialAnswers)}};
@@ -141,7 +142,7 @@
         std::string names;
         for (const std::size_t replica : replicas)
             names += (names.empty() ? "" : ", ") + document.targets[replica].name;
-        entries[place + ", shard " + shardName]["replicas"] = names;
+        entries[shardPlace + shardName]["replicas"] = names;
     }
 }
 
--- a/test/unit/configcheck_test.cpp
+++ b/test/unit/configcheck_test.cpp
@@ -223,6 +223,7 @@
     };
     checkError(routingFindings([](Json &json) { json["routes"][1]["timeout_ms"] = 599; }),
                FindingKind::Contradiction, "route orders", "above the timeout of 599 ms");
+    CHECK(routingFindings([](Json &json) { json["routes"][1]["timeout_ms"] = 600; }).empty());
     warning([](Json &json) { json["routes"][0]["max_attempts"] = 0; }, "/routes/0/max_attempts",
             "counts as 1");
     warning([](Json &json) { json["services"][0]["max_conns"] = 0; }, "/services/0/max_conns",
