--- a/src/core/limitshare.cpp
+++ b/src/core/limitshare.cpp
@@ -67,7 +67,7 @@
 
 bool LimitShare::isInDoubt(const TargetLimit &limit, Clock::time_point now)
 {
-    return limit.isLimited() && now - limit.heardAt() >= DoubtTime;
+    return limit.isLimited() && limit.age(now) >= DoubtTime;
 }
 
 Clock::duration LimitShare::unusedFor() const
