Send a cold target no more than its service states

Cause: a newly started target, and one that returns from an evacuation, accepts few requests a second from all VMs together; only the cost of such a target was raised, which bounds nothing.

A service states the rate (warmup_per_s) and the longest time (warmup_s), a target in its entry and in X-Warmup-Ms how long it stays cold. Until then each request to it needs a permit of the limit pool, whatever it is for. After an evacuation targets of the domain are presumed cold for 2.5 report intervals. Requests that are not urgent take no permits ahead of their time. A permit is checked again right before a request is given to a connection.

--- a/include/mangoshift/routing.h
+++ b/include/mangoshift/routing.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -78,6 +79,11 @@
 {
     /// The maximum number of connections to one target from all VMs together.
     std::size_t maxConnections = 1;
+    /// How many requests a second a cold target takes of all VMs together; zero if that is not
+    /// limited.
+    double warmupRate = 0.0;
+    /// The maximum time for which a target is cold; no value if it is not stated.
+    std::optional<std::chrono::milliseconds> maxWarmup = std::nullopt;
 };
 
 /// One version of the routes, services and limits; does not change once it is in force.
--- a/include/mangoshift/targetstanding.h
+++ b/include/mangoshift/targetstanding.h
@@ -26,6 +26,8 @@
     std::optional<double> limit = std::nullopt;
     /// Whether the target names a limit that cannot be read, and none that can.
     bool isLimitUnreadable = false;
+    /// How long the target stays cold, zero if it is not; no value if it does not say so.
+    std::optional<std::chrono::milliseconds> warmupLeft = std::nullopt;
 
     bool operator==(const TargetNotice &) const = default;
 };
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -35,6 +35,8 @@
                                                           {"target_limit_changed", "limit"},
                                                           {"target_limit_ended", "limit"},
                                                           {"target_limit_unused", "unused limit"},
+                                                          {"target_cold", "warm-up limit"},
+                                                          {"target_warm", "warm-up limit"},
                                                           {"target_answers", "target"},
                                                           {"retry_budget_spent", "budget"},
                                                           {"retry_budget_back", "budget"}};
@@ -241,8 +243,8 @@
 {
     std::string text;
     for (const auto &[key, line] : background) {
-        const bool isInForce =
-            line.event == "target_limit_named" || line.event == "target_limit_changed";
+        const bool isInForce = line.event == "target_limit_named"
+            || line.event == "target_limit_changed" || line.event == "target_cold";
         if (!isInForce
             || !std::binary_search(services.begin(), services.end(), line.value("service")))
             continue;
@@ -266,7 +268,7 @@
         explanation.cause += limitsOf(unsent, background);
     const auto isAboutUnsent = [&unsent](const LogLine &line) {
         const bool closesTarget = line.event != "target_listed" && line.event != "target_answers"
-            && line.event != "target_limit_ended";
+            && line.event != "target_limit_ended" && line.event != "target_warm";
         return closesTarget
             && std::binary_search(unsent.begin(), unsent.end(), line.value("service"));
     };
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -84,6 +84,9 @@
     , targetsUnresponsive(gauges(*m_registry, "mangoshift_targets_unresponsive",
                                  "Targets that the VMs of this failure domain say do not respond")
                               .Add({}))
+    , coldTargets(gauges(*m_registry, "mangoshift_cold_targets",
+                         "Targets that get requests at the rate for cold targets only")
+                      .Add({}))
     , domainSilent(gauges(*m_registry, "mangoshift_domain_silent",
                           "One while the targets of a failure domain have stopped responding"))
     , domainEvacuated(gauges(*m_registry, "mangoshift_domain_evacuated",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -90,6 +90,8 @@
     prometheus::Family<prometheus::Counter> &capacityReports;
     /// Targets that the failure domain's VMs say do not respond.
     prometheus::Gauge &targetsUnresponsive;
+    /// The targets that are cold and whose services state a rate for that.
+    prometheus::Gauge &coldTargets;
     /// By `failure_domain`: 1 while its targets do not respond, 0 after that.
     prometheus::Family<prometheus::Gauge> &domainSilent;
     /// By `failure_domain`: 1 while nothing is sent to its targets, 0 after that.
--- a/src/core/targetregistry.cpp
+++ b/src/core/targetregistry.cpp
@@ -17,7 +17,6 @@
 bool hasSameContent(RegisteredTarget a, const RegisteredTarget &b)
 {
     a.sequence = b.sequence;
-    a.warmupLeft = b.warmupLeft;
     return a == b;
 }
 
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -1,5 +1,7 @@
 #include "entry/entryduty.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <future>
 #include <utility>
 
@@ -47,6 +49,16 @@
             {"age_ms", outlook.age.count()}};
 }
 
+/// Returns for how many milliseconds a target is still cold; zero if it is not, or if its service
+/// states no rate for cold targets.
+std::int64_t coldMs(const TargetLimit &limit, Clock::time_point now)
+{
+    if (!limit.isCold())
+        return 0;
+    return std::max<std::int64_t>(
+        0, std::chrono::duration_cast<std::chrono::milliseconds>(limit.coldUntil() - now).count());
+}
+
 } // namespace
 
 EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
@@ -72,6 +84,9 @@
     m_state.directory.setVm(settings.vm, settings.failureDomain);
     m_state.directory.setPolicies(settings.targetPolicies);
     m_state.directory.setReportCapacity(sinks.reportCapacity);
+    m_state.directory.setWarmup({settings.warmupBound.overshoot, settings.warmupBound.slack,
+                                 settings.failureDomains.size()},
+                                settings.targetReportInterval);
 }
 
 EntryDuty::~EntryDuty()
@@ -480,6 +495,7 @@
                                 {"leaving", handle->standing->isLeaving()},
                                 {"paused", !handle->standing->mayReceive(now)},
                                 {"limit_per_s", limitJson(handle->standing->limit())},
+                                {"cold_ms", coldMs(handle->standing->limit(), now)},
                                 {"permits", handle->standing->limit().permits(now)}};
         if (const auto outlook = m_state.directory.outlook(*handle, now))
             state["targets"][id]["outlook"] = outlookJson(*outlook);
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -31,14 +31,6 @@
 
 } // namespace
 
-bool isSpoilt(const HttpResponse &response, const EntryHeaderNames &names)
-{
-    if (response.headers.contains("content-encoding"))
-        return true;
-    const bool isSuccess = response.status >= 200 && response.status < 300;
-    return isSuccess && response.headers.value(names.receipt).empty();
-}
-
 TargetDirectory::TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
                                  std::size_t fleetSize,
                                  PermitRequests::RequestFromPool requestFromPool)
@@ -77,9 +69,12 @@
                 logEvent(LogLevel::Info, "target_draining",
                          {{"target", target.id}, {"service", target.service}});
             }
+            const bool isNewReport = target.sequence != handle.info.sequence;
             handle.info = target;
             handle.isMisdirected = false;
             applyEvacuation(handle, now);
+            if (isNewReport)
+                onWarmupEntry(handle, now);
             return;
         }
         delist(target.id);
@@ -102,6 +97,7 @@
         });
     handle->load.setWarmupEnd(now + target.warmupLeft);
     handle->isEvacuated = m_evacuatedDomains.contains(target.failureDomain);
+    onWarmupEntry(*handle, now);
     if (target.isDraining)
         handle->drainingSince = now;
     m_byService[target.service].push_back(handle);
@@ -141,6 +137,7 @@
 {
     m_routing = std::move(routing);
     updateConnections();
+    updateWarmupLimits();
 }
 
 void TargetDirectory::setFleetSize(std::size_t vms)
@@ -310,6 +307,7 @@
     // A response that is not the target's own does not end its limit.
     const bool isOwn = !isSpoilt(response, m_adapter.headers);
     onLimitNotice(*handle, notice, isOwn ? sentAt : std::nullopt, now);
+    onWarmupNotice(*handle, notice, isOwn ? sentAt : std::nullopt, now);
     std::uniform_real_distribution<double> draw(0.0, 1.0);
     if (!handle->standing->onNotice(notice, draw(m_random), now))
         return;
@@ -382,6 +380,9 @@
         addSparePermit(*std::exchange(call.permit, std::nullopt));
     TargetLimit &limit = target->standing->limit();
     const Clock::time_point now = Clock::now();
+    // The permit may have expired since the target was picked.
+    if (!limit.allowsRequest(now))
+        return false;
     const auto number = target->channels.call(
         call.request,
         [this, target, expected = call.expectedLatency,
@@ -408,6 +409,7 @@
     for (const TargetHandlePtr &handle : m_retired)
         handle->channels.sweep(now);
     m_permits.sweep(now);
+    endWarmups(now);
     std::vector<std::string> services;
     for (const auto &[service, waiting] : m_waiting)
         services.push_back(service);
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -28,6 +28,7 @@
 #include "mangoshift/targetregistry.h"
 #include "mangoshift/targetstanding.h"
 #include "mangoshift/waitingturns.h"
+#include "mangoshift/warmupterms.h"
 
 namespace mangoshift {
 
@@ -217,6 +218,9 @@
         return m_recorder.outlook(target.limitKey, now);
     }
 
+    /// Sets how the requests to cold targets are limited, and how often a target writes its entry.
+    void setWarmup(const WarmupTerms &terms, Clock::duration targetReportInterval);
+
     /// Sends a request to a target with a free slot, and prefers targets with a low cost. A
     /// draining target is picked only if the service has no other target and it has been draining
     /// for no longer than a second. `onSent` is called when the request has been given to a target,
@@ -332,6 +336,26 @@
     /// Handles the limit that a response names, or that it names none.
     void onLimitNotice(TargetHandle &target, const TargetNotice &notice,
                        std::optional<Clock::time_point> sentAt, Clock::time_point now);
+    /// Changes what is known of a target's warm-up, and applies the limit that is then in force.
+    void changeWarmup(TargetHandle &target, const std::function<void(TargetLimit &)> &change);
+    /// Handles what a target's entry says of its warm-up.
+    void onWarmupEntry(TargetHandle &target, Clock::time_point now);
+    /// Handles what a response says of the target's warm-up.
+    void onWarmupNotice(TargetHandle &target, const TargetNotice &notice,
+                        std::optional<Clock::time_point> sentAt, Clock::time_point now);
+    /// Treats a target as cold, as it may have had no requests during an evacuation.
+    void presumeCold(TargetHandle &target, Clock::time_point now);
+    /// Applies the rates of a new configuration to the targets.
+    void updateWarmupLimits();
+    /// Ends the warm-ups whose time is over, and updates the metric of cold targets.
+    void endWarmups(Clock::time_point now);
+    /// Handles the end of a target's warm-up.
+    void onWarm(TargetHandle &target);
+    /// Returns a time for which a target is cold, within what its service allows.
+    Clock::duration boundedWarmup(const TargetHandle &target, Clock::duration time) const;
+    /// How long at least a target that returns is treated as cold until it has said otherwise, and
+    /// how old its entry may be.
+    Clock::duration entryAge() const { return m_targetReportInterval * 5 / 2; }
     /// Arranges that waiting calls are sent when their permits are valid.
     void armPermitTimer(Clock::time_point now);
     /// Updates the metrics of limited targets.
@@ -389,6 +413,8 @@
     DomainReach m_domainReach;
     CapacityRecorder m_recorder;
     ReportCapacity m_reportCapacity;
+    WarmupTerms m_warmupTerms;
+    Clock::duration m_targetReportInterval = std::chrono::milliseconds(1200);
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
--- a/src/entry/targetdirectory_evacuations.cpp
+++ b/src/entry/targetdirectory_evacuations.cpp
@@ -50,6 +50,7 @@
     target.returnsAt =
         now + std::chrono::duration_cast<Clock::duration>(ReturnWindow * draw(m_random));
     target.load.resetLimit();
+    presumeCold(target, now);
     return true;
 }
 
--- a/src/entry/targetdirectory_limits.cpp
+++ b/src/entry/targetdirectory_limits.cpp
@@ -33,7 +33,7 @@
 {
     const TargetLimit &limit = target.standing->limit();
     return {target.limitKey, limit.value(),
-            std::chrono::duration_cast<milliseconds>(now - limit.heardAt())};
+            std::chrono::duration_cast<milliseconds>(limit.age(now))};
 }
 
 std::vector<HeardLimit> limitedPart(const std::vector<TargetHandlePtr> &targets,
@@ -84,6 +84,17 @@
 
 void TargetDirectory::requestPermits(PermitAsk ask, OnPermits onPermits, Clock::time_point now)
 {
+    // A cold target takes little. What is granted ahead of its time to the requests that are not
+    // urgent, which are more, would leave the urgent ones without permits.
+    const auto isCold = [this](const HeardLimit &heard) {
+        const auto target = m_byLimitKey.find(heard.target);
+        return target != m_byLimitKey.end() && target->second->standing->limit().isCold();
+    };
+    if (ask.priority > 0
+        && std::any_of(ask.parts.begin(), ask.parts.end(), [&isCold](const auto &part) {
+               return std::any_of(part.begin(), part.end(), isCold);
+           }))
+        ask.maxWait = milliseconds(0);
     m_permits.request(
         std::move(ask),
         [this, onPermits = std::move(onPermits)](const PermitOutcome &outcome) {
@@ -218,7 +229,7 @@
         logEvent(LogLevel::Warning, "target_limit_unreadable",
                  {{"target", target.info.id},
                   {"service", target.info.service},
-                  {"limit_per_s", std::to_string(*before)}});
+                  {"limit_per_s", std::to_string(*target.standing->limit().named())}});
         return;
     }
     if (change == Change::None) {
--- a/src/entry/targetdirectory_outcomes.cpp
+++ b/src/entry/targetdirectory_outcomes.cpp
@@ -10,6 +10,14 @@
 
 namespace mangoshift {
 
+bool isSpoilt(const HttpResponse &response, const EntryHeaderNames &names)
+{
+    if (response.headers.contains("content-encoding"))
+        return true;
+    const bool isSuccess = response.status >= 200 && response.status < 300;
+    return isSuccess && response.headers.value(names.receipt).empty();
+}
+
 void TargetDirectory::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
                                   const TargetCallResult &reply)
 {
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -105,6 +105,24 @@
     CHECK(document->limits.idleTimeout == 400ms);
 }
 
+TEST_CASE("A service may state the rate that its cold targets take")
+{
+    const auto decode = [](const Json &fields) {
+        Json json = Document;
+        json["services"][0].update(fields);
+        return platform::decodeDocument(json).value().services.at("s1");
+    };
+    CHECK(decode(Json::object()).warmupRate == 0.0);
+    CHECK_FALSE(decode(Json::object()).maxWarmup);
+    CHECK(decode({{"warmup_per_s", 5}, {"warmup_s", 1.5}}).warmupRate == 5.0);
+    CHECK(decode({{"warmup_per_s", 5}, {"warmup_s", 1.5}}).maxWarmup == 1500ms);
+    CHECK(decode({{"warmup_per_s", -1}}).warmupRate == 0.0);
+    CHECK(documentError([](Json &json) { json["services"][0]["warmup_s"] = "3"; })
+          == "/services/0/warmup_s: must be a number");
+    CHECK(documentError([](Json &json) { json["services"][0]["warmup_s"] = 1e9; })
+          == "/services/0/warmup_s: is too large");
+}
+
 TEST_CASE("The error of an invalid configuration names the field at fault")
 {
     CHECK(documentError([](Json &json) { json.erase("version"); }) == "/version: is missing");
@@ -360,6 +378,20 @@
         return noticeOf(200, {{"Server-Limit", value}}).limit;
     };
 
+    SECTION(
+        "it is cold for a whole number of milliseconds; a value that cannot be read says nothing")
+    {
+        const auto warmupOf = [&](const Fields &fields) {
+            return noticeOf(200, fields).warmupLeft;
+        };
+        CHECK_FALSE(warmupOf({}));
+        CHECK(warmupOf({{"x-warmup-ms", " 1500 "}}) == 1500ms);
+        CHECK(warmupOf({{"X-Warmup-Ms", "0"}}) == 0ms);
+        CHECK(warmupOf({{"X-Warmup-Ms", "700"}, {"X-Warmup-Ms", "x"}, {"X-Warmup-Ms", "9"}})
+              == 700ms);
+        for (const std::string value : {"", "-1", "1.5", "1e3", "5 s", "86400001", "99999999999"})
+            CHECK_FALSE(warmupOf({{"X-Warmup-Ms", value}}));
+    }
     SECTION("it leaves only with the value 1, whatever the status")
     {
         for (const int status : {200, 404, 500, 503, 504})
