--- a/src/core/configdifferences.cpp
+++ b/src/core/configdifferences.cpp
@@ -75,8 +75,10 @@
 
 Fields fieldsOf(const RoutedService &service)
 {
-    const auto &[maxConnections] = service;
-    return {{"connections", std::to_string(maxConnections)}};
+    const auto &[maxConnections, warmupRate, maxWarmup] = service;
+    return {{"connections", std::to_string(maxConnections)},
+            {"warm-up rate", textOf(warmupRate)},
+            {"warm-up time", maxWarmup ? textOf(*maxWarmup) : std::string()}};
 }
 
 Fields fieldsOf(const CallerLimits &limits)
