Learn how much load each target handles well

Fixed weights do not fit targets that differ in speed and slow down before they are full. With learn_capacity, TargetLoad takes slowness and limit from TargetCapacity: a time-decayed mean of logarithms, and a concurrency that is compared with the target's own best latency. With the setting off nothing changes.

The whole of the unit tests was not run on this commit.

--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -8,6 +8,7 @@
 
 #include "mangoshift/clock.h"
 #include "mangoshift/slotlimit.h"
+#include "mangoshift/targetcapacity.h"
 #include "mangoshift/targetoutlook.h"
 
 namespace mangoshift {
@@ -20,9 +21,18 @@
 public:
     explicit TargetLoad(std::uint32_t slots = 1)
         : m_limit(slots)
+        , m_slots(slots)
     {
     }
 
+    /// Sets whether slowness and limit are learned by `TargetCapacity`.
+    void setLearnsCapacity(bool learns);
+    /// Returns what was learned of the target; null if nothing is.
+    const TargetCapacity *capacity() const { return m_capacity ? &*m_capacity : nullptr; }
+    /// Records the load that the target states.
+    void onStatedLoad(const StatedLoad &load, Clock::time_point now);
+    /// Returns whether `TargetCapacity::isSlow` has changed.
+    bool updateSlow(Clock::time_point now) { return m_capacity && m_capacity->updateSlow(now); }
     /// Records that a request was sent.
     void onSent() { ++m_inFlight; }
     /// Records a response. `expected` is the usual latency of this kind of request; zero if it is
@@ -43,7 +53,7 @@
     /// requests that are newer take precedence.
     void onOutlook(const TargetOutlook &outlook, Clock::time_point now);
     /// Lets the number of concurrent requests grow from one again, for a target that returns.
-    void resetLimit() { m_limit.reset(); }
+    void resetLimit();
     /// Sets when the target's warm-up ends; until then it counts as slower.
     void setWarmupEnd(Clock::time_point until) { m_warmupEnd = until; }
 
@@ -76,10 +86,10 @@
     /// Returns true if one more request may be sent to the target now. Because other VMs send to
     /// the target too, the limit is adaptive: it starts at one, grows up to the target's slots
     /// while responses come in time, and shrinks when they are slow or requests are refused.
-    bool hasCapacity() const { return m_inFlight < m_limit.limit(); }
-    std::uint32_t limit() const { return m_limit.limit(); }
-    /// Returns the moving average of the ratio of measured to expected latency.
-    double slowness() const { return m_slowness; }
+    bool hasCapacity() const { return m_inFlight < limit(); }
+    std::uint32_t limit() const;
+    /// Returns the average of the ratio of measured to expected latency.
+    double slowness(Clock::time_point now) const;
 
 private:
     void startAvoidance(Clock::time_point now);
@@ -88,6 +98,10 @@
     double slownessWithOutlook(Clock::time_point now) const;
 
     SlotLimit m_limit;
+    std::uint32_t m_slots;
+    std::optional<TargetCapacity> m_capacity;
+    /// Whether a request was lost or overdue and no response has come in time since.
+    bool m_awaitsTimelyResponse = false;
     Clock::time_point m_lastAnswerAt{};
     std::uint32_t m_inFlight = 0;
     double m_slowness = 1.0;
--- a/include/mangoshift/targetstanding.h
+++ b/include/mangoshift/targetstanding.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "mangoshift/clock.h"
+#include "mangoshift/targetcapacity.h"
 #include "mangoshift/targetlimit.h"
 #include "mangoshift/targetregistry.h"
 
@@ -28,6 +29,8 @@
     bool isLimitUnreadable = false;
     /// How long the target stays cold, zero if it is not; no value if it does not say so.
     std::optional<std::chrono::milliseconds> warmupLeft = std::nullopt;
+    /// The load that the target states; no value if it does not.
+    std::optional<StatedLoad> load = std::nullopt;
 
     bool operator==(const TargetNotice &) const = default;
 };
--- a/src/app/explanation.cpp
+++ b/src/app/explanation.cpp
@@ -14,7 +14,7 @@
 
 /// Events that describe the state of a VM, each with the name of its group. Only the latest event
 /// of a group is reported. An event without a group name is a group by itself, and each target has
-/// a group `target`, `limit` and `unused limit` of its own.
+/// a group `target`, `capacity`, `limit` and `unused limit` of its own.
 const std::map<std::string, std::string> BackgroundEvents{{"vm_started", ""},
                                                           {"vm_ready", ""},
                                                           {"vm_not_ready", ""},
@@ -31,6 +31,8 @@
                                                           {"target_failing", "target"},
                                                           {"target_leaving", "target"},
                                                           {"target_pauses", "target"},
+                                                          {"target_slower", "capacity"},
+                                                          {"target_recovered", "capacity"},
                                                           {"target_limit_named", "limit"},
                                                           {"target_limit_changed", "limit"},
                                                           {"target_limit_ended", "limit"},
@@ -256,6 +258,20 @@
     return text.empty() ? text : text + ".";
 }
 
+/// Returns which of the targets were slower than usual or handled less than before, as one
+/// sentence; empty if there are none.
+std::string slowTargetsOf(const std::vector<std::string> &targets, const Background &background)
+{
+    std::string text;
+    for (const auto &[key, line] : background)
+        if (line.event == "target_slower"
+            && std::binary_search(targets.begin(), targets.end(), line.value("target")))
+            text += (text.empty() ? " Targets known to be slow: " : ", ") + line.value("target")
+                + " of " + line.value("service") + " (" + line.value("slowness")
+                + " times the usual latency, capacity " + line.value("capacity") + ")";
+    return text.empty() ? text : text + ".";
+}
+
 Explanation explain(const std::string &vm, const LogLine &endEvent, const Background &background)
 {
     Explanation explanation{vm, endEvent, {}, {}, causeOf(endEvent)};
@@ -266,9 +282,11 @@
     const auto unsent = unsentServicesOf(endEvent);
     if (isTurnedAwayByLimits(endEvent))
         explanation.cause += limitsOf(unsent, background);
+    explanation.cause += slowTargetsOf(targets, background);
     const auto isAboutUnsent = [&unsent](const LogLine &line) {
         const bool closesTarget = line.event != "target_listed" && line.event != "target_answers"
-            && line.event != "target_limit_ended" && line.event != "target_warm";
+            && line.event != "target_limit_ended" && line.event != "target_warm"
+            && line.event != "target_recovered";
         return closesTarget
             && std::binary_search(unsent.begin(), unsent.end(), line.value("service"));
     };
@@ -311,7 +329,8 @@
             m_droppedLines += std::strtoull(line->value("lines").c_str(), nullptr, 10);
         if (const auto known = BackgroundEvents.find(line->event);
             known != BackgroundEvents.end()) {
-            const bool isOfTarget = known->second == "target" || known->second.ends_with("limit");
+            const bool isOfTarget = known->second == "target" || known->second == "capacity"
+                || known->second.ends_with("limit");
             const std::string key = isOfTarget ? known->second + " " + line->value("target")
                 : known->second.empty()        ? line->event
                                                : known->second;
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -89,6 +89,9 @@
                       .Add({}))
     , domainSilent(gauges(*m_registry, "mangoshift_domain_silent",
                           "One while the targets of a failure domain have stopped responding"))
+    , targetsSlow(gauges(*m_registry, "mangoshift_targets_slow",
+                         "Targets that are slower than usual, or handle less than before")
+                      .Add({}))
     , domainEvacuated(gauges(*m_registry, "mangoshift_domain_evacuated",
                              "One while nothing is sent to the targets of a failure domain"))
     , ready(gauges(*m_registry, "mangoshift_ready", "One while this VM is ready").Add({}))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -94,6 +94,8 @@
     prometheus::Gauge &coldTargets;
     /// By `failure_domain`: 1 while its targets do not respond, 0 after that.
     prometheus::Family<prometheus::Gauge> &domainSilent;
+    /// How many targets are known to be slower than usual, or to handle less than before.
+    prometheus::Gauge &targetsSlow;
     /// By `failure_domain`: 1 while nothing is sent to its targets, 0 after that.
     prometheus::Family<prometheus::Gauge> &domainEvacuated;
     /// 1 while this VM is ready, otherwise 0.
--- a/src/core/targetload.cpp
+++ b/src/core/targetload.cpp
@@ -39,18 +39,59 @@
 
 } // namespace
 
+void TargetLoad::setLearnsCapacity(bool learns)
+{
+    if (!learns)
+        m_capacity.reset();
+    else if (!m_capacity)
+        m_capacity.emplace(m_slots);
+}
+
+void TargetLoad::onStatedLoad(const StatedLoad &load, Clock::time_point now)
+{
+    if (m_capacity)
+        m_capacity->onStatedLoad(load, now);
+}
+
+void TargetLoad::resetLimit()
+{
+    m_limit.reset();
+    if (m_capacity)
+        m_capacity->resetConcurrency();
+}
+
+std::uint32_t TargetLoad::limit() const
+{
+    if (!m_capacity)
+        return m_limit.limit();
+    // What was learned outlasts a pause, but one request is enough to find out whether it is over.
+    return m_awaitsTimelyResponse ? 1 : m_capacity->concurrency();
+}
+
+double TargetLoad::slowness(Clock::time_point now) const
+{
+    return m_capacity ? m_capacity->slowness(now) : m_slowness;
+}
+
 void TargetLoad::onAnswered(Clock::duration latency, Clock::duration expected,
                             Clock::time_point now)
 {
-    --m_inFlight;
+    const std::uint32_t running = m_inFlight--;
     m_lastAnswerAt = now;
     m_consecutiveFailures = 0;
     m_avoidUntil = std::min(m_avoidUntil, now);
     m_outlook.isUnresponsive = false;
-    if (expected.count() <= 0)
+    if (expected.count() <= 0) {
+        m_awaitsTimelyResponse = false;
         return;
+    }
     const double ratio =
         static_cast<double>(latency.count()) / static_cast<double>(expected.count());
+    if (m_capacity) {
+        m_capacity->onAnswered(ratio, running, now);
+        if (ratio < TooLateRatio * std::max(1.0, m_capacity->slowness(now)))
+            m_awaitsTimelyResponse = false;
+    }
     if (ratio <= InTimeRatio)
         m_limit.onSuccess();
     else if (ratio >= TooLateRatio)
@@ -63,6 +104,8 @@
     --m_inFlight;
     m_limit.onShed(now);
     m_outlook.isUnresponsive = false;
+    if (m_capacity)
+        m_capacity->onRefused(now);
     m_avoidUntil = std::max(m_avoidUntil, now + RefusalAvoidance);
 }
 
@@ -86,6 +129,10 @@
 {
     const auto avoidance = FirstAvoidance * (1U << std::min(m_consecutiveFailures, 3U));
     ++m_consecutiveFailures;
+    m_awaitsTimelyResponse = true;
+    // A longer outage is no pause: the target may be cold afterwards.
+    if (m_capacity && isFailing())
+        m_capacity->resetConcurrency();
     m_avoidUntil = std::max(m_avoidUntil, now + std::min<Clock::duration>(avoidance, MaxAvoidance));
 }
 
@@ -104,17 +151,18 @@
 
 double TargetLoad::slownessWithOutlook(Clock::time_point now) const
 {
+    const double own = slowness(now);
     if (now >= m_outlookUntil)
-        return m_slowness;
+        return own;
     const double ownWeight =
         m_lastAnswerAt == Clock::time_point() ? 0.0 : outlookDecay(now - m_lastAnswerAt);
     const double weight =
         m_outlook.weight * outlookDecay(now - (m_outlookUntil - TargetOutlook::Lifetime));
     const double share = weight <= 0.0 ? 0.0 : weight / (weight + ownWeight);
     const double slowness =
-        std::exp((1.0 - share) * std::log(m_slowness) + share * std::log(m_outlook.slowness));
+        std::exp((1.0 - share) * std::log(own) + share * std::log(m_outlook.slowness));
     return std::clamp(slowness * (1.0 + LossCost * m_outlook.lossRate), MinSlowness,
-                      m_slowness * MaxOutlookCost);
+                      own * MaxOutlookCost);
 }
 
 bool TargetLoad::isFailing() const
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -369,7 +369,7 @@
         if (!m_state.directory.hasFreeSlot(service, request.receivedAt))
             wait = std::max(wait, typical);
         const auto slowed = std::chrono::duration_cast<Clock::duration>(
-            typical * m_state.directory.leastSlowness(service));
+            typical * m_state.directory.leastSlowness(service, request.receivedAt));
         outlook.usual = std::max(outlook.usual, slowed);
     }
     // A few responses tell too little of the slowest ones.
@@ -488,7 +488,7 @@
                                 {"in_flight", handle->load.inFlight()},
                                 {"limit", handle->load.limit()},
                                 {"misdirected", handle->isMisdirected},
-                                {"slowness", handle->load.slowness()},
+                                {"slowness", handle->load.slowness(now)},
                                 {"avoided", handle->load.isAvoided(now)},
                                 {"failing", handle->load.isFailing()},
                                 {"draining", handle->info.isDraining},
@@ -499,6 +499,11 @@
                                 {"permits", handle->standing->limit().permits(now)}};
         if (const auto outlook = m_state.directory.outlook(*handle, now))
             state["targets"][id]["outlook"] = outlookJson(*outlook);
+        if (const TargetCapacity *capacity = handle->load.capacity()) {
+            state["targets"][id]["capacity"] = capacity->concurrency();
+            state["targets"][id]["confidence"] = capacity->confidence(now);
+            state["targets"][id]["slow"] = capacity->isSlow();
+        }
     }
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {
--- a/src/entry/targetdirectory.cpp
+++ b/src/entry/targetdirectory.cpp
@@ -96,6 +96,7 @@
             onNotice(weak, response, sentAt);
         });
     handle->load.setWarmupEnd(now + target.warmupLeft);
+    handle->load.setLearnsCapacity(m_policies.learnsCapacity);
     handle->isEvacuated = m_evacuatedDomains.contains(target.failureDomain);
     onWarmupEntry(*handle, now);
     if (target.isDraining)
@@ -306,6 +307,8 @@
     onDomainResponse(*handle, now);
     // A response that is not the target's own does not end its limit.
     const bool isOwn = !isSpoilt(response, m_adapter.headers);
+    if (notice.load && isOwn)
+        handle->load.onStatedLoad(*notice.load, now);
     onLimitNotice(*handle, notice, isOwn ? sentAt : std::nullopt, now);
     onWarmupNotice(*handle, notice, isOwn ? sentAt : std::nullopt, now);
     std::uniform_real_distribution<double> draw(0.0, 1.0);
@@ -420,6 +423,7 @@
     requestSharesOfLimits(now);
     updateLimitMetrics(now);
     reportCapacity(now);
+    reviewCapacities(now);
     std::erase_if(m_retired,
                   [](const TargetHandlePtr &handle) { return handle->channels.isIdle(); });
 }
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -204,7 +204,7 @@
     void setVm(const VmId &vm, const std::string &failureDomain);
 
     /// Sets which sources of knowledge about targets are used.
-    void setPolicies(const TargetPolicies &policies) { m_policies = policies; }
+    void setPolicies(const TargetPolicies &policies);
     /// Sets the receiver of reports for the capacity pool. Without it none are made.
     void setReportCapacity(ReportCapacity reportCapacity)
     {
@@ -264,7 +264,7 @@
     /// Returns whether a target of a service can be sent a call now.
     bool hasFreeSlot(const std::string &service, Clock::time_point now) const;
     /// Returns how many times as long as usual the fastest target of a service takes, 1 at least.
-    double leastSlowness(const std::string &service) const;
+    double leastSlowness(const std::string &service, Clock::time_point now) const;
     /// Drops a waiting call, identified by its service and request.
     void dropWaiting(const std::string &service, const ForwardedRequestPtr &request);
     /// Closes overdue connections, sends waiting calls, and forgets removed targets that have no
@@ -362,6 +362,8 @@
     void updateLimitMetrics(Clock::time_point now);
     /// Logs that a target has come to fail or answers again; `wasFailing` is its earlier state.
     void onFailingMayHaveChanged(const TargetHandle &target, bool wasFailing);
+    /// Logs which targets have come to handle much less load, or do so no longer, and counts them.
+    void reviewCapacities(Clock::time_point now);
     /// Handles what a target says about itself in a response.
     void onNotice(const std::weak_ptr<TargetHandle> &target, const HttpResponse &response,
                   std::optional<Clock::time_point> sentAt);
@@ -415,6 +417,7 @@
     ReportCapacity m_reportCapacity;
     WarmupTerms m_warmupTerms;
     Clock::duration m_targetReportInterval = std::chrono::milliseconds(1200);
+    Clock::time_point m_capacitiesReviewedAt{};
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
--- a/src/entry/targetdirectory_waiting.cpp
+++ b/src/entry/targetdirectory_waiting.cpp
@@ -60,16 +60,16 @@
                        [](const TargetHandlePtr &handle) { return handle->load.hasCapacity(); });
 }
 
-double TargetDirectory::leastSlowness(const std::string &service) const
+double TargetDirectory::leastSlowness(const std::string &service, Clock::time_point now) const
 {
     const auto it = m_byService.find(service);
     if (it == m_byService.end() || it->second.empty())
         return 1.0;
     const auto fastest =
-        std::min_element(it->second.begin(), it->second.end(), [](const auto &a, const auto &b) {
-            return a->load.slowness() < b->load.slowness();
+        std::min_element(it->second.begin(), it->second.end(), [now](const auto &a, const auto &b) {
+            return a->load.slowness(now) < b->load.slowness(now);
         });
-    return std::max(1.0, (*fastest)->load.slowness());
+    return std::max(1.0, (*fastest)->load.slowness(now));
 }
 
 std::optional<TargetAbsence> TargetDirectory::enqueue(ServiceCall call, bool needsSlotOnly,
--- a/test/unit/explanation_test.cpp
+++ b/test/unit/explanation_test.cpp
@@ -198,3 +198,28 @@
         CHECK(search.droppedLines() == 12);
     }
 }
+
+TEST_CASE("An explanation names the targets that were known to be slow")
+{
+    const std::string slower = "time=2026-12-04T10:00:01.900Z level=INFO event=target_slower "
+                               "target=i-b service=s7 slowness=4.100000 capacity=1\n";
+    const std::string known = "Targets known to be slow: i-b of s7 (4.100000 times the usual "
+                              "latency, capacity 1).";
+    SECTION("if one of them was tried for a missing part")
+    {
+        std::istringstream log(Background + slower + Partial);
+        RequestSearch search("p1");
+        search.read("vm", log);
+        CHECK(contains(toText(onlyExplanation(search)), known));
+    }
+    SECTION("but not once it has recovered")
+    {
+        std::istringstream log(Background + slower
+                               + "time=2026-12-04T10:00:01.950Z level=INFO event=target_recovered "
+                                 "target=i-b service=s7 slowness=1.100000 capacity=2\n"
+                               + Partial);
+        RequestSearch search("p1");
+        search.read("vm", log);
+        CHECK_FALSE(contains(toText(onlyExplanation(search)), "known to be slow"));
+    }
+}
