--- a/test/unit/warmupfleet_test.cpp
+++ b/test/unit/warmupfleet_test.cpp
@@ -283,12 +283,12 @@
     for (const double rate : {5.0, 20.0, 60.0}) {
         double urgent = 0.0;
         double others = 0.0;
-        constexpr std::uint64_t Runs = 5;
-        for (std::uint64_t seed = 1; seed <= Runs; ++seed) {
+        constexpr std::uint64_t runs = 5;
+        for (std::uint64_t seed = 1; seed <= runs; ++seed) {
             ColdFleet fleet({vms, domains, rate}, seed);
             fleet.runFor(20s);
-            urgent += fleet.sentShare(0) / Runs;
-            others += fleet.sentShare(LeastUrgent) / Runs;
+            urgent += fleet.sentShare(0) / runs;
+            others += fleet.sentShare(LeastUrgent) / runs;
         }
         CAPTURE(vms, domains, rate, urgent, others);
         CHECK(urgent > 3.0 * others);
