--- a/src/entry/targetdirectory_outlooks.cpp
+++ b/src/entry/targetdirectory_outlooks.cpp
@@ -13,15 +13,16 @@
 {
     if (!m_policies.sharesCapacity || reply.end == TargetCallResult::End::Unsent)
         return;
+    const bool hasResponded = reply.end == TargetCallResult::End::Responded;
     const int status = reply.response.status;
-    if (reply.end != TargetCallResult::End::Responded)
-        m_recorder.onLost(target.limitKey, now);
-    else if (status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests)
-        m_recorder.onResponded(target.limitKey, now);
     // The response of another target at the address says nothing about this one.
-    else if (status == httpstatus::MisdirectedRequest)
+    if (hasResponded && status == httpstatus::MisdirectedRequest)
         return;
-    else if (isSpoilt(reply.response, m_adapter.headers))
+    const bool isRefused = hasResponded
+        && (status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests);
+    if (isRefused)
+        m_recorder.onResponded(target.limitKey, now);
+    else if (!hasResponded || isSpoilt(reply.response, m_adapter.headers))
         m_recorder.onLost(target.limitKey, now);
     else
         m_recorder.onAnswered(target.limitKey, now - reply.sentAt, expected, now);
--- a/test/unit/capacityfleet.h
+++ b/test/unit/capacityfleet.h
@@ -111,7 +111,8 @@
     /// Returns which share of the requests since the last call went to bad targets.
     double takeBadShare()
     {
-        const double share = m_sent == 0 ? 0.0 : static_cast<double>(m_sentBad) / m_sent;
+        const double share =
+            m_sent == 0 ? 0.0 : static_cast<double>(m_sentBad) / static_cast<double>(m_sent);
         m_sent = 0;
         m_sentBad = 0;
         return share;
@@ -195,7 +196,10 @@
     };
 
     double draw() { return std::uniform_real_distribution<double>(0.0, 1.0)(m_random); }
-    std::int64_t below(std::int64_t bound) { return static_cast<std::int64_t>(draw() * bound); }
+    std::int64_t below(std::int64_t bound)
+    {
+        return static_cast<std::int64_t>(draw() * static_cast<double>(bound));
+    }
     void at(Clock::time_point time, std::function<void()> run)
     {
         m_events.push({time, ++m_sequence, std::move(run)});
