--- a/test/unit/targetcapacity_test.cpp
+++ b/test/unit/targetcapacity_test.cpp
@@ -129,7 +129,8 @@
         }
         m_result.inTime = m_inTime / std::max(m_ended, 1.0);
         m_result.use = m_workInTime / (capacity * m_scene.ms);
-        m_result.limitChanges = m_limitChanges * 1000.0 / m_scene.ms / m_loads.size();
+        m_result.limitChanges =
+            m_limitChanges * 1000.0 / m_scene.ms / static_cast<double>(m_loads.size());
         return m_result;
     }
 
@@ -196,7 +197,8 @@
             server.running.push_back(server.waiting.front());
             server.waiting.pop_front();
         }
-        const double crowd = std::max(1.0, server.running.size() / target.knee);
+        const double crowd =
+            std::max(1.0, static_cast<double>(server.running.size()) / target.knee);
         const double progress = speed(t) / std::pow(crowd, 1.5);
         for (Request &each : server.running)
             each.left -= progress;
@@ -358,7 +360,7 @@
     return 2.0 * std::sqrt(squares / (count - 1.0) / count);
 }
 
-std::vector<ModelTarget> targetsOf(std::vector<double> speeds, ModelTarget common = {})
+std::vector<ModelTarget> targetsOf(const std::vector<double> &speeds, ModelTarget common = {})
 {
     std::vector<ModelTarget> targets;
     for (const double speed : speeds) {
