--- a/include/mangoshift/targetload.h
+++ b/include/mangoshift/targetload.h
@@ -8,6 +8,8 @@
 
 #include "mangoshift/clock.h"
 #include "mangoshift/slotlimit.h"
+#include "mangoshift/targetcapacity.h"
+#include "mangoshift/targetoutlook.h"
 
 namespace mangoshift {
 
@@ -19,9 +21,18 @@
 public:
     explicit TargetLoad(std::uint32_t slots = 1)
         : m_limit(slots)
+        , m_slots(slots)
     {
     }
 
+    /// Sets whether slowness and limit are learned by `TargetCapacity`.
+    void setLearnsCapacity(bool learns);
+    /// Returns what was learned of the target; null if nothing is.
+    const TargetCapacity *capacity() const { return m_capacity ? &*m_capacity : nullptr; }
+    /// Records the load that the target states.
+    void onStatedLoad(const StatedLoad &load, Clock::time_point now);
+    /// Returns whether `TargetCapacity::isSlow` has changed.
+    bool updateSlow(Clock::time_point now) { return m_capacity && m_capacity->updateSlow(now); }
     /// Records that a request was sent.
     void onSent() { ++m_inFlight; }
     /// Records a response. `expected` is the usual latency of this kind of request; zero if it is
@@ -37,8 +48,12 @@
     /// until it responds, or for a limited time. If it has answered nothing else for as long, the
     /// number of concurrent requests grows from one again.
     void onOverdue(Clock::duration usualTime, Clock::time_point now);
+    /// Takes what the VMs of the failure domain know of the target, which raises its cost until it
+    /// expires. If the target has stopped responding, it is avoided. Responses to this VM's own
+    /// requests that are newer take precedence.
+    void onOutlook(const TargetOutlook &outlook, Clock::time_point now);
     /// Lets the number of concurrent requests grow from one again, for a target that returns.
-    void resetLimit() { m_limit.reset(); }
+    void resetLimit();
     /// Sets when the target's warm-up ends; until then it counts as slower.
     void setWarmupEnd(Clock::time_point until) { m_warmupEnd = until; }
 
@@ -47,7 +62,18 @@
     void setRelativeCost(double cost) { m_relativeCost = cost; }
 
     /// Returns true while the target should get requests only if there is no other target.
-    bool isAvoided(Clock::time_point now) const { return now < m_avoidUntil; }
+    bool isAvoided(Clock::time_point now) const
+    {
+        return isAvoidedAfterStall(now) || isAvoidedByOutlook(now);
+    }
+    /// Returns true while the target is avoided for what this VM itself has seen of it.
+    bool isAvoidedAfterStall(Clock::time_point now) const { return now < m_avoidUntil; }
+    /// Returns true while the failure domain says that the target does not respond, and no response
+    /// to this VM contradicts it. It still gets a few requests, which find out when it responds.
+    bool isAvoidedByOutlook(Clock::time_point now) const
+    {
+        return m_outlook.isUnresponsive && now < m_outlookUntil;
+    }
     /// Returns true from a lost or overdue request until the next response.
     bool isUnresponsive() const { return m_consecutiveFailures > 0; }
     /// Returns true if several consecutive requests got no response; one may be due to a pause.
@@ -60,15 +86,22 @@
     /// Returns true if one more request may be sent to the target now. Because other VMs send to
     /// the target too, the limit is adaptive: it starts at one, grows up to the target's slots
     /// while responses come in time, and shrinks when they are slow or requests are refused.
-    bool hasCapacity() const { return m_inFlight < m_limit.limit(); }
-    std::uint32_t limit() const { return m_limit.limit(); }
-    /// Returns the moving average of the ratio of measured to expected latency.
-    double slowness() const { return m_slowness; }
+    bool hasCapacity() const { return m_inFlight < limit(); }
+    std::uint32_t limit() const;
+    /// Returns the average of the ratio of measured to expected latency.
+    double slowness(Clock::time_point now) const;
 
 private:
     void startAvoidance(Clock::time_point now);
+    /// Returns how many times as much a request costs as at a target that is as busy: by the
+    /// slowness that this VM has measured, and by the outlook.
+    double slownessWithOutlook(Clock::time_point now) const;
 
     SlotLimit m_limit;
+    std::uint32_t m_slots;
+    std::optional<TargetCapacity> m_capacity;
+    /// Whether a request was lost or overdue and no response has come in time since.
+    bool m_awaitsTimelyResponse = false;
     Clock::time_point m_lastAnswerAt{};
     std::uint32_t m_inFlight = 0;
     double m_slowness = 1.0;
@@ -76,6 +109,8 @@
     std::uint32_t m_consecutiveFailures = 0;
     Clock::time_point m_avoidUntil{};
     Clock::time_point m_warmupEnd{};
+    TargetOutlook m_outlook;
+    Clock::time_point m_outlookUntil{};
 };
 
 /// Picks a target at random, with a weight that falls with the square of its cost. Avoided targets
--- a/include/mangoshift/targetstanding.h
+++ b/include/mangoshift/targetstanding.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "mangoshift/clock.h"
+#include "mangoshift/targetcapacity.h"
 #include "mangoshift/targetlimit.h"
 #include "mangoshift/targetregistry.h"
 
@@ -26,6 +27,10 @@
     std::optional<double> limit = std::nullopt;
     /// Whether the target names a limit that cannot be read, and none that can.
     bool isLimitUnreadable = false;
+    /// How long the target stays cold, zero if it is not; no value if it does not say so.
+    std::optional<std::chrono::milliseconds> warmupLeft = std::nullopt;
+    /// The load that the target states; no value if it does not.
+    std::optional<StatedLoad> load = std::nullopt;
 
     bool operator==(const TargetNotice &) const = default;
 };
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -79,8 +79,19 @@
                  "Time in which a limited target got nothing of the requests it could have taken"))
     , permitAsks(counters(*m_registry, "mangoshift_permit_asks_total",
                           "Requests for permits to send to limited targets"))
+    , capacityReports(counters(*m_registry, "mangoshift_capacity_reports_total",
+                               "Reports about targets between the VMs of a failure domain"))
+    , targetsUnresponsive(gauges(*m_registry, "mangoshift_targets_unresponsive",
+                                 "Targets that the VMs of this failure domain say do not respond")
+                              .Add({}))
+    , coldTargets(gauges(*m_registry, "mangoshift_cold_targets",
+                         "Targets that get requests at the rate for cold targets only")
+                      .Add({}))
     , domainSilent(gauges(*m_registry, "mangoshift_domain_silent",
                           "One while the targets of a failure domain have stopped responding"))
+    , targetsSlow(gauges(*m_registry, "mangoshift_targets_slow",
+                         "Targets that are slower than usual, or handle less than before")
+                      .Add({}))
     , domainEvacuated(gauges(*m_registry, "mangoshift_domain_evacuated",
                              "One while nothing is sent to the targets of a failure domain"))
     , ready(gauges(*m_registry, "mangoshift_ready", "One while this VM is ready").Add({}))
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -85,8 +85,17 @@
     prometheus::Family<prometheus::Gauge> &targetLimitUnused;
     /// Requests for permits to send to limited targets, by `outcome` (`granted`, `denied`).
     prometheus::Family<prometheus::Counter> &permitAsks;
+    /// Reports about targets between the VMs of a failure domain, by `outcome`: `sent`, `asked`
+    /// (sent without observations), `merged` (received as the pool owner), `ignored`.
+    prometheus::Family<prometheus::Counter> &capacityReports;
+    /// Targets that the failure domain's VMs say do not respond.
+    prometheus::Gauge &targetsUnresponsive;
+    /// The targets that are cold and whose services state a rate for that.
+    prometheus::Gauge &coldTargets;
     /// By `failure_domain`: 1 while its targets do not respond, 0 after that.
     prometheus::Family<prometheus::Gauge> &domainSilent;
+    /// How many targets are known to be slower than usual, or to handle less than before.
+    prometheus::Gauge &targetsSlow;
     /// By `failure_domain`: 1 while nothing is sent to its targets, 0 after that.
     prometheus::Family<prometheus::Gauge> &domainEvacuated;
     /// 1 while this VM is ready, otherwise 0.
--- a/src/entry/entryduty.cpp
+++ b/src/entry/entryduty.cpp
@@ -1,5 +1,7 @@
 #include "entry/entryduty.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <future>
 #include <utility>
 
@@ -38,6 +40,25 @@
     return limit.value() ? nlohmann::json(*limit.value()) : nlohmann::json();
 }
 
+nlohmann::json outlookJson(const TargetOutlook &outlook)
+{
+    return {{"slowness", outlook.slowness},
+            {"loss_rate", outlook.lossRate},
+            {"weight", outlook.weight},
+            {"unresponsive", outlook.isUnresponsive},
+            {"age_ms", outlook.age.count()}};
+}
+
+/// Returns for how many milliseconds a target is still cold; zero if it is not, or if its service
+/// states no rate for cold targets.
+std::int64_t coldMs(const TargetLimit &limit, Clock::time_point now)
+{
+    if (!limit.isCold())
+        return 0;
+    return std::max<std::int64_t>(
+        0, std::chrono::duration_cast<std::chrono::milliseconds>(limit.coldUntil() - now).count());
+}
+
 } // namespace
 
 EntryDuty::EntryDuty(const EntrySettings &settings, const WireAdapter &adapter, Metrics &metrics,
@@ -62,6 +83,10 @@
 {
     m_state.directory.setVm(settings.vm, settings.failureDomain);
     m_state.directory.setPolicies(settings.targetPolicies);
+    m_state.directory.setReportCapacity(sinks.reportCapacity);
+    m_state.directory.setWarmup({settings.warmupBound.overshoot, settings.warmupBound.slack,
+                                 settings.failureDomains.size()},
+                                settings.targetReportInterval);
 }
 
 EntryDuty::~EntryDuty()
@@ -129,6 +154,13 @@
         logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
 }
 
+void EntryDuty::onOutlooks(CapacityOutlooks outlooks)
+{
+    // The pool sends outlooks again while they matter.
+    if (!m_duty.tryPost(std::move(outlooks)))
+        logEvent(LogLevel::Error, "ring_full", {{"duty", m_duty.name()}});
+}
+
 void EntryDuty::onOtherDomainContact()
 {
     m_duty.postLatest(OtherDomainContact{});
@@ -168,6 +200,9 @@
                    [this](FleetSize &fleet) { m_state.growFleet(fleet.vms); },
                    [this](BudgetGrants &grants) { m_state.budgets.onGrants(grants); },
                    [this](PermitReply &reply) { m_state.directory.onPermits(reply); },
+                   [this](CapacityOutlooks &outlooks) {
+                       m_state.directory.onOutlooks(outlooks, Clock::now());
+                   },
                    [this](ReloadableSettings &settings) {
                        m_state.replyMargin = settings.replyMargin;
                        m_state.budgets.setTerms(settings.retryBudget);
@@ -334,7 +369,7 @@
         if (!m_state.directory.hasFreeSlot(service, request.receivedAt))
             wait = std::max(wait, typical);
         const auto slowed = std::chrono::duration_cast<Clock::duration>(
-            typical * m_state.directory.leastSlowness(service));
+            typical * m_state.directory.leastSlowness(service, request.receivedAt));
         outlook.usual = std::max(outlook.usual, slowed);
     }
     // A few responses tell too little of the slowest ones.
@@ -448,19 +483,28 @@
     state["log_lines_left_out"] = droppedLogLines();
     state["log_lines_left_out_by_event"] = droppedLogLinesByEvent();
     const Clock::time_point now = Clock::now();
-    for (const auto &[id, handle] : m_state.directory.targets())
+    for (const auto &[id, handle] : m_state.directory.targets()) {
         state["targets"][id] = {{"service", handle->info.service},
                                 {"in_flight", handle->load.inFlight()},
                                 {"limit", handle->load.limit()},
                                 {"misdirected", handle->isMisdirected},
-                                {"slowness", handle->load.slowness()},
+                                {"slowness", handle->load.slowness(now)},
                                 {"avoided", handle->load.isAvoided(now)},
                                 {"failing", handle->load.isFailing()},
                                 {"draining", handle->info.isDraining},
                                 {"leaving", handle->standing->isLeaving()},
                                 {"paused", !handle->standing->mayReceive(now)},
                                 {"limit_per_s", limitJson(handle->standing->limit())},
+                                {"cold_ms", coldMs(handle->standing->limit(), now)},
                                 {"permits", handle->standing->limit().permits(now)}};
+        if (const auto outlook = m_state.directory.outlook(*handle, now))
+            state["targets"][id]["outlook"] = outlookJson(*outlook);
+        if (const TargetCapacity *capacity = handle->load.capacity()) {
+            state["targets"][id]["capacity"] = capacity->concurrency();
+            state["targets"][id]["confidence"] = capacity->confidence(now);
+            state["targets"][id]["slow"] = capacity->isSlow();
+        }
+    }
     for (const auto &[name, route] : m_state.routes)
         state["routes"][name] = {
             {"samples", route.partLatencies.samples()},
--- a/src/entry/targetdirectory.h
+++ b/src/entry/targetdirectory.h
@@ -18,6 +18,7 @@
 #include "entry/permitrequests.h"
 #include "entry/wireadapter.h"
 #include "http/targetchannels.h"
+#include "mangoshift/capacityrecorder.h"
 #include "mangoshift/connectionshare.h"
 #include "mangoshift/domainreach.h"
 #include "mangoshift/limitshare.h"
@@ -27,6 +28,7 @@
 #include "mangoshift/targetregistry.h"
 #include "mangoshift/targetstanding.h"
 #include "mangoshift/waitingturns.h"
+#include "mangoshift/warmupterms.h"
 
 namespace mangoshift {
 
@@ -181,6 +183,9 @@
 class TargetDirectory
 {
 public:
+    /// Sends what this VM has observed of targets to the capacity pool.
+    using ReportCapacity = std::function<void(CapacityObservations)>;
+
     /// `fleetSize` is the number of VMs that share a target's connections.
     TargetDirectory(asio::io_context &io, const WireAdapter &adapter, Metrics &metrics,
                     std::size_t fleetSize, PermitRequests::RequestFromPool requestFromPool);
@@ -199,7 +204,22 @@
     void setVm(const VmId &vm, const std::string &failureDomain);
 
     /// Sets which sources of knowledge about targets are used.
-    void setPolicies(const TargetPolicies &policies) { m_policies = policies; }
+    void setPolicies(const TargetPolicies &policies);
+    /// Sets the receiver of reports for the capacity pool. Without it none are made.
+    void setReportCapacity(ReportCapacity reportCapacity)
+    {
+        m_reportCapacity = std::move(reportCapacity);
+    }
+    /// Takes what the VMs of the failure domain know of targets. Unknown targets are ignored.
+    void onOutlooks(const CapacityOutlooks &outlooks, Clock::time_point now);
+    /// Returns what the failure domain knows of a target; no value if there is no outlook.
+    std::optional<TargetOutlook> outlook(const TargetHandle &target, Clock::time_point now) const
+    {
+        return m_recorder.outlook(target.limitKey, now);
+    }
+
+    /// Sets how the requests to cold targets are limited, and how often a target writes its entry.
+    void setWarmup(const WarmupTerms &terms, Clock::duration targetReportInterval);
 
     /// Sends a request to a target with a free slot, and prefers targets with a low cost. A
     /// draining target is picked only if the service has no other target and it has been draining
@@ -244,7 +264,7 @@
     /// Returns whether a target of a service can be sent a call now.
     bool hasFreeSlot(const std::string &service, Clock::time_point now) const;
     /// Returns how many times as long as usual the fastest target of a service takes, 1 at least.
-    double leastSlowness(const std::string &service) const;
+    double leastSlowness(const std::string &service, Clock::time_point now) const;
     /// Drops a waiting call, identified by its service and request.
     void dropWaiting(const std::string &service, const ForwardedRequestPtr &request);
     /// Closes overdue connections, sends waiting calls, and forgets removed targets that have no
@@ -316,12 +336,34 @@
     /// Handles the limit that a response names, or that it names none.
     void onLimitNotice(TargetHandle &target, const TargetNotice &notice,
                        std::optional<Clock::time_point> sentAt, Clock::time_point now);
+    /// Changes what is known of a target's warm-up, and applies the limit that is then in force.
+    void changeWarmup(TargetHandle &target, const std::function<void(TargetLimit &)> &change);
+    /// Handles what a target's entry says of its warm-up.
+    void onWarmupEntry(TargetHandle &target, Clock::time_point now);
+    /// Handles what a response says of the target's warm-up.
+    void onWarmupNotice(TargetHandle &target, const TargetNotice &notice,
+                        std::optional<Clock::time_point> sentAt, Clock::time_point now);
+    /// Treats a target as cold, as it may have had no requests during an evacuation.
+    void presumeCold(TargetHandle &target, Clock::time_point now);
+    /// Applies the rates of a new configuration to the targets.
+    void updateWarmupLimits();
+    /// Ends the warm-ups whose time is over, and updates the metric of cold targets.
+    void endWarmups(Clock::time_point now);
+    /// Handles the end of a target's warm-up.
+    void onWarm(TargetHandle &target);
+    /// Returns a time for which a target is cold, within what its service allows.
+    Clock::duration boundedWarmup(const TargetHandle &target, Clock::duration time) const;
+    /// How long at least a target that returns is treated as cold until it has said otherwise, and
+    /// how old its entry may be.
+    Clock::duration entryAge() const { return m_targetReportInterval * 5 / 2; }
     /// Arranges that waiting calls are sent when their permits are valid.
     void armPermitTimer(Clock::time_point now);
     /// Updates the metrics of limited targets.
     void updateLimitMetrics(Clock::time_point now);
     /// Logs that a target has come to fail or answers again; `wasFailing` is its earlier state.
     void onFailingMayHaveChanged(const TargetHandle &target, bool wasFailing);
+    /// Logs which targets have come to handle much less load, or do so no longer, and counts them.
+    void reviewCapacities(Clock::time_point now);
     /// Handles what a target says about itself in a response.
     void onNotice(const std::weak_ptr<TargetHandle> &target, const HttpResponse &response,
                   std::optional<Clock::time_point> sentAt);
@@ -334,6 +376,10 @@
     /// Records how a call ended.
     void recordOutcome(TargetHandle &target, Clock::duration expected,
                        const TargetCallResult &reply, Clock::time_point now);
+    /// Records what a call has shown of a target for the capacity pool, if that is used.
+    void recordForPool(const TargetHandle &target, Clock::duration expected,
+                       const TargetCallResult &reply, Clock::time_point now);
+    void reportCapacity(Clock::time_point now);
     /// Marks a target whose address now belongs to another target.
     static void onMisdirected(TargetHandle &target, Clock::time_point now);
     /// Starts to wait with a call. Returns why it cannot get its turn in time instead.
@@ -367,6 +413,11 @@
     std::set<std::string> m_evacuatedDomains;
     TargetPolicies m_policies;
     DomainReach m_domainReach;
+    CapacityRecorder m_recorder;
+    ReportCapacity m_reportCapacity;
+    WarmupTerms m_warmupTerms;
+    Clock::duration m_targetReportInterval = std::chrono::milliseconds(1200);
+    Clock::time_point m_capacitiesReviewedAt{};
     ChannelCounts m_counts;
     std::unordered_map<TargetId, TargetHandlePtr> m_byId;
     std::unordered_map<std::string, std::vector<TargetHandlePtr>> m_byService;
--- a/src/entry/targetdirectory_outcomes.cpp
+++ b/src/entry/targetdirectory_outcomes.cpp
@@ -10,6 +10,14 @@
 
 namespace mangoshift {
 
+bool isSpoilt(const HttpResponse &response, const EntryHeaderNames &names)
+{
+    if (response.headers.contains("content-encoding"))
+        return true;
+    const bool isSuccess = response.status >= 200 && response.status < 300;
+    return isSuccess && response.headers.value(names.receipt).empty();
+}
+
 void TargetDirectory::onCallEnded(const TargetHandlePtr &target, Clock::duration expected,
                                   const TargetCallResult &reply)
 {
@@ -23,6 +31,8 @@
 {
     const bool wasFailing = target->load.isFailing();
     target->load.onOverdue(usualTime, now);
+    if (m_policies.sharesCapacity)
+        m_recorder.onOverdue(target->limitKey, now);
     onFailingMayHaveChanged(*target, wasFailing);
     const std::string &domain = target->info.failureDomain;
     if (m_policies.avoidsSilentDomains
@@ -44,6 +54,7 @@
 void TargetDirectory::recordOutcome(TargetHandle &target, Clock::duration expected,
                                     const TargetCallResult &reply, Clock::time_point now)
 {
+    recordForPool(target, expected, reply, now);
     TargetLoad &load = target.load;
     switch (reply.end) {
     case TargetCallResult::End::Responded:
--- a/test/unit/platform_test.cpp
+++ b/test/unit/platform_test.cpp
@@ -105,6 +105,24 @@
     CHECK(document->limits.idleTimeout == 400ms);
 }
 
+TEST_CASE("A service may state the rate that its cold targets take")
+{
+    const auto decode = [](const Json &fields) {
+        Json json = Document;
+        json["services"][0].update(fields);
+        return platform::decodeDocument(json).value().services.at("s1");
+    };
+    CHECK(decode(Json::object()).warmupRate == 0.0);
+    CHECK_FALSE(decode(Json::object()).maxWarmup);
+    CHECK(decode({{"warmup_per_s", 5}, {"warmup_s", 1.5}}).warmupRate == 5.0);
+    CHECK(decode({{"warmup_per_s", 5}, {"warmup_s", 1.5}}).maxWarmup == 1500ms);
+    CHECK(decode({{"warmup_per_s", -1}}).warmupRate == 0.0);
+    CHECK(documentError([](Json &json) { json["services"][0]["warmup_s"] = "3"; })
+          == "/services/0/warmup_s: must be a number");
+    CHECK(documentError([](Json &json) { json["services"][0]["warmup_s"] = 1e9; })
+          == "/services/0/warmup_s: is too large");
+}
+
 TEST_CASE("The error of an invalid configuration names the field at fault")
 {
     CHECK(documentError([](Json &json) { json.erase("version"); }) == "/version: is missing");
@@ -360,6 +378,20 @@
         return noticeOf(200, {{"Server-Limit", value}}).limit;
     };
 
+    SECTION(
+        "it is cold for a whole number of milliseconds; a value that cannot be read says nothing")
+    {
+        const auto warmupOf = [&](const Fields &fields) {
+            return noticeOf(200, fields).warmupLeft;
+        };
+        CHECK_FALSE(warmupOf({}));
+        CHECK(warmupOf({{"x-warmup-ms", " 1500 "}}) == 1500ms);
+        CHECK(warmupOf({{"X-Warmup-Ms", "0"}}) == 0ms);
+        CHECK(warmupOf({{"X-Warmup-Ms", "700"}, {"X-Warmup-Ms", "x"}, {"X-Warmup-Ms", "9"}})
+              == 700ms);
+        for (const std::string value : {"", "-1", "1.5", "1e3", "5 s", "86400001", "99999999999"})
+            CHECK_FALSE(warmupOf({{"X-Warmup-Ms", value}}));
+    }
     SECTION("it leaves only with the value 1, whatever the status")
     {
         for (const int status : {200, 404, 500, 503, 504})
@@ -427,9 +459,57 @@
                   .limit
               == 7.0);
     }
+    SECTION("it states its load in whole numbers, and may say how long work takes")
+    {
+        CHECK(noticeOf(200, {{"x-load", " 2,0,3 "}}).load == StatedLoad{2, 0, 3, std::nullopt});
+        CHECK(noticeOf(503, {{"X-Load", "3,7,3,250.5"}}).load == StatedLoad{3, 7, 3, 250.5});
+        CHECK(noticeOf(200, {{"X-Load", "1000000,0,1,10000"}}).load
+              == StatedLoad{1'000'000, 0, 1, 10'000.0});
+        CHECK_FALSE(noticeOf(200, {}).load);
+    }
+    // Guards against a broken target that draws or repels all requests.
+    SECTION("a load that is malformed, out of bounds or stated twice is ignored")
+    {
+        for (const std::string value : {"",
+                                        ",",
+                                        "1",
+                                        "1,2",
+                                        "1,2,",
+                                        "1,2,0",
+                                        "-1,0,2",
+                                        "+1,0,2",
+                                        "1,-1,2",
+                                        "1.5,0,2",
+                                        "1, 0,2",
+                                        "1,0,2,",
+                                        "1,0,2,x",
+                                        "1,0,2,nan",
+                                        "1,0,2,inf",
+                                        "1,0,2,-5",
+                                        "1,0,2,0",
+                                        "1,0,2,0.99",
+                                        "1,0,2,10000.1",
+                                        "1,0,2,1e3",
+                                        "1,0,2,100,1",
+                                        "1000001,0,2",
+                                        "1,1000001,2",
+                                        "1,0,1000001",
+                                        "99999999999999999999,0,2",
+                                        "1;0;2",
+                                        "1,0,2 100"}) {
+            CAPTURE(value);
+            CHECK_FALSE(noticeOf(200, {{"X-Load", value}}).load);
+        }
+        CHECK_FALSE(noticeOf(200, {{"X-Load", "1,0,2," + std::string(400, '9')}}).load);
+        CHECK_FALSE(noticeOf(200, {{"X-Load", "1,0,2"}, {"X-Load", "9,9,2"}}).load);
+    }
     SECTION("a response from another target at its address says nothing about it")
     {
-        CHECK(noticeOf(421, {{"Server-Leaving", "1"}, {"Retry-After", "2"}, {"Server-Limit", "1"}})
+        CHECK(noticeOf(421,
+                       {{"Server-Leaving", "1"},
+                        {"Retry-After", "2"},
+                        {"Server-Limit", "1"},
+                        {"X-Load", "1,0,2"}})
               == TargetNotice());
     }
 }
