Pass the time of sending to a test of capacity reports

The test was written before overdue responses were reported with the time at which their requests were sent.

--- a/test/unit/capacityreports_test.cpp
+++ b/test/unit/capacityreports_test.cpp
@@ -49,7 +49,7 @@
     }
     // A usual response tells the domain nothing.
     CHECK(reports.empty());
-    directory.onOverdue(directory.targets().at("i-a1"), 100ms, Clock::now());
+    directory.onOverdue(directory.targets().at("i-a1"), 100ms, Clock::now(), Clock::now());
     fixture.advance(200ms);
     REQUIRE(reports.size() == 1);
     REQUIRE(reports[0].targets.size() == 1);
