--- a/test/unit/statefollower_test.cpp
+++ b/test/unit/statefollower_test.cpp
@@ -426,7 +426,7 @@
             });
         }
         for (int i = 0; i < 6; ++i) {
-            const std::string domain = shape[random() % shape.size()];
+            const std::string &domain = shape[random() % shape.size()];
             const bool isRequested = random() % 2 == 0;
             simulation.after(deployment.upTo(12s), [&store, domain, isRequested] {
                 store.evacuate(domain, isRequested);
