--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -2,7 +2,8 @@
 of `target/mangoshift entry` with the rendered template of its settings.
 
 All addresses are loopback addresses. Everything that was sent, answered and run is recorded with
-the time in seconds since the start of the case.
+the time in seconds since the start of the case. With KEEP_LOGS set, the logs of the entry processes
+are kept in a temporary folder.
 """
 import asyncio
 import base64
@@ -10,6 +11,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -64,6 +66,24 @@
     return text.encode("latin-1") + body
 
 
+class Link:
+    """The network in front of a stand-in. While it is cut, nothing passes in either direction; what
+    was on its way arrives when the cut has healed."""
+
+    def __init__(self):
+        self.whole = asyncio.Event()
+        self.whole.set()
+
+    async def pass_through(self):
+        await self.whole.wait()
+
+    def cut(self):
+        self.whole.clear()
+
+    def heal(self):
+        self.whole.set()
+
+
 class Store:
     """The platform's metadata store: listings and watches."""
 
@@ -73,7 +93,7 @@
         self.items = {}
         self.events = []
         self.changed = asyncio.Condition()
-        self.history_from = 0
+        self.link = Link()
 
     async def open(self, ip):
         self.server = await asyncio.start_server(self.serve, ip, 0)
@@ -107,7 +127,9 @@
                 if request is None:
                     break
                 target = request[0].split(" ")[1]
+                await self.link.pass_through()
                 status, body = await self.answer(target)
+                await self.link.pass_through()
                 data = json.dumps(body).encode()
                 writer.write(message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json",
                                                               "Content-Length": len(data)}, data))
@@ -169,6 +191,7 @@
         self.arrivals = []  # (time, request id, headers, request line, body)
         self.work = None
         self.respond = None
+        self.link = Link()
 
     async def open(self, ip, port=0):
         self.server = await asyncio.start_server(self.serve, ip, port, backlog=256)
@@ -214,6 +237,7 @@
             writer.close()
 
     async def handle(self, request, reader, writer):
+        await self.link.pass_through()
         first, headers, body = request
         ident = headers.get("x-request-id", "")
         self.arrivals.append((self.record.now(), ident, headers, first, body))
@@ -268,6 +292,7 @@
         return time.monotonic() < deadline
 
     async def reply(self, writer, status, headers, body, ident):
+        await self.link.pass_through()
         self.record.add("server-answered", server=self.id, request=ident, status=status)
         writer.write(message(f"HTTP/1.1 {status} X", {**headers, "Content-Length": len(body)}, body))
         await writer.drain()
@@ -410,9 +435,6 @@
                     raise RuntimeError(f"{name} did not become ready")
                 await asyncio.sleep(0.05)
 
-    async def heartbeats(self, interval_s=1.2):
-        """Writes nothing: unchanged entries are events only when more than `seq` changes."""
-
     async def stop(self):
         for process in self.vms.values():
             if process.returncode is None:
@@ -484,8 +506,11 @@
             return 2
         finally:
             await fleet.stop()
-            fleet.record.add("logs", folder=fleet.folder)
             fleet.record.write(pathlib.Path(folder) / "record.txt")
+            if "KEEP_LOGS" in os.environ:
+                print("logs of the processes:", fleet.folder)
+            else:
+                shutil.rmtree(fleet.folder, ignore_errors=True)
     status = asyncio.run(play())
     print({0: "held", 1: "broken", 2: "could not run"}[status])
     os._exit(status)
