--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,7 @@
 HOST = "slots.example"
 DRAIN_S = 3.0  # bounds.drain_ms of the small deployments
 MUTE_S = 6.5  # for_s
-MUTED = (True, False, True, False, False)  # x = 0.4
+MUTED = (False,) * 5 + (True, False, True, False, False, True)  # x = 0.27
 SERVERS = 7  # One of them is a share of 0.143.
 SLOTS, MAX_CONNS, WORK_S = 4, 38, 0.3
 LINGER_S = 1.25  # how long the server serves after its drain time
@@ -46,7 +46,8 @@
     async def respond(server, writer, ident, stamp):
         if mute_from is None or fleet.record.now() > mute_from + MUTE_S:
             return False
-        if not MUTED[next(counts) % len(MUTED)]:
+        number = next(counts)
+        if number >= len(MUTED) or not MUTED[number]:
             return False
         fleet.record.add("never-answered", server=server.id, request=ident)
         first_muted.set()
@@ -61,7 +62,7 @@
             if answer.status != 200:
                 await asyncio.sleep(0.2)
 
-    clients = [asyncio.create_task(client()) for _ in range(30)]
+    clients = [asyncio.create_task(client()) for _ in range(40)]
     await asyncio.sleep(8)
     if trouble:
         mute_from = fleet.record.now()
