--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,7 +19,7 @@
 MUTE_S = 6.5  # for_s
 MUTED = (False,) * 5 + (True, False, True, False, False, True)  # x = 0.27
 SERVERS = 7  # One of them is a share of 0.143.
-SLOTS, MAX_CONNS, WORK_S = 4, 38, 0.3
+SLOTS, MAX_CONNS, WORK_S = 6, 38, 0.3
 LINGER_S = 1.25  # how long the server serves after its drain time
 
 
@@ -62,7 +62,7 @@
             if answer.status != 200:
                 await asyncio.sleep(0.2)
 
-    clients = [asyncio.create_task(client()) for _ in range(40)]
+    clients = [asyncio.create_task(client()) for _ in range(56)]
     await asyncio.sleep(8)
     if trouble:
         mute_from = fleet.record.now()
