Reject responses whose status line is not valid HTTP/1.1

Callers received a target's response with status 000 as an answer: the VM forwarded status 0 with the target's receipt and body, although the request had run at a target in trouble.

Cause: the parser library accepts a status code of one to three digits of any value, four if the first is 0, versions such as 9.9, several spaces, control bytes in the reason, and any byte after a CR. HttpParser passed on whatever the library accepted.

Fix: ResponseSyntax checks the status line of final and interim responses byte by byte. What it does not accept is malformed, which all readers already treat as a request that may have run on a connection that is closed.

--- a/src/http/httpparser.cpp
+++ b/src/http/httpparser.cpp
@@ -40,7 +40,9 @@
     if (m_fault != HttpFault::None || m_isComplete)
         return 0;
     m_hasBegun = m_hasBegun || size > 0;
+    m_unchecked = bytes;
     const std::size_t consumed = http_parser_execute(&m_parser, &callbacks(), bytes, size);
+    checkSyntax(bytes + consumed);
     const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
     if (error == HPE_PAUSED)
         return consumed;
@@ -93,6 +95,7 @@
     m_requestTarget.clear();
     m_headers = {};
     m_body.clear();
+    m_syntax = {};
     http_parser_init(&m_parser, m_side == Side::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
 }
@@ -106,6 +109,19 @@
     return false;
 }
 
+bool HttpParser::checkSyntax(const char *end)
+{
+    if (m_fault != HttpFault::None)
+        return false;
+    const std::string_view unchecked(m_unchecked, static_cast<std::size_t>(end - m_unchecked));
+    m_unchecked = end;
+    if (m_side == Side::Requests || m_syntax.accept(unchecked))
+        return true;
+    m_fault = HttpFault::Malformed;
+    m_isComplete = false;
+    return false;
+}
+
 int HttpParser::onUrl(http_parser *parser, const char *at, std::size_t size)
 {
     HttpParser &self = *parserOf(parser);
@@ -162,6 +178,9 @@
 int HttpParser::onBody(http_parser *parser, const char *at, std::size_t size)
 {
     HttpParser &self = *parserOf(parser);
+    if (!self.checkSyntax(at))
+        return 1;
+    self.m_unchecked = at + size;
     if (self.m_body.size() + size > self.m_limits.body) {
         self.m_fault = HttpFault::BodyTooLarge;
         return 1;
--- a/src/http/httpparser.h
+++ b/src/http/httpparser.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 
 #include "http/httpexchange.h"
+#include "http/responsesyntax.h"
 
 namespace mangoshift {
 
@@ -73,11 +74,17 @@
     static int onComplete(http_parser *parser);
 
     bool addHeaderBytes(std::size_t size);
+    /// Checks the syntax of a response from the first unchecked byte up to `end`. Returns false,
+    /// and sets the fault, if it is malformed.
+    bool checkSyntax(const char *end);
     void resetForNextMessage();
 
     Side m_side;
     HttpSizeLimits m_limits;
     http_parser m_parser{};
+    ResponseSyntax m_syntax;
+    /// The first byte of the present call of `feed` that neither was checked nor belongs to a body.
+    const char *m_unchecked = nullptr;
     HttpFault m_fault = HttpFault::None;
     bool m_hasBegun = false;
     bool m_hasHeaders = false;
--- a/src/http/httpstatus.h
+++ b/src/http/httpstatus.h
@@ -3,6 +3,7 @@
 namespace mangoshift::httpstatus {
 
 // The status codes that the code handles explicitly, with their names from RFC 9110.
+constexpr int SwitchingProtocols = 101;
 constexpr int Ok = 200;
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
@@ -16,4 +17,8 @@
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 
+// The range of valid status codes.
+constexpr int FirstValid = 100;
+constexpr int LastValid = 599;
+
 } // namespace mangoshift::httpstatus
--- a/standins/fakeservers/server.cpp
+++ b/standins/fakeservers/server.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds PauseTime{1500};
 constexpr std::string_view LimitMode = "limit=";
 constexpr std::string_view LateMode = "late=";
+constexpr std::string_view StatusMode = "status=";
+constexpr std::string_view LineMode = "line=";
 /// How much of an endless body is written at a time.
 constexpr std::size_t EndlessBytes = 16U << 10U;
 /// The deadline of a request without a valid X-Deadline-Ms header.
@@ -304,6 +306,12 @@
     response.body = serverRecords(m_service, requestId, m_options.hasPerRequestRecords);
     std::string bytes;
     appendResponse(bytes, response, false);
+    const std::string version = "HTTP/1.1 ";
+    if (mode.starts_with(StatusMode))
+        bytes.replace(version.size(), std::to_string(status).size(),
+                      mode.substr(StatusMode.size()));
+    if (mode.starts_with(LineMode))
+        bytes.insert(bytes.find("\r\n"), "\r\n" + mode.substr(LineMode.size()));
     return bytes;
 }
 
--- a/standins/fakeservers/server.h
+++ b/standins/fakeservers/server.h
@@ -66,8 +66,10 @@
     /// "endless-body" (runs the request, then sends headers or a body until the connection is
     /// closed), "leaving" (says in each response that it leaves), "pause" (refuses with 503,
     /// asking for a pause), "limit=N" (names a limit of N requests a second in each response),
-    /// "late=N" (responds after N ms), "no-stamp" (runs the request, responds with an empty stamp)
-    /// and "unknown" (runs the request, responds with 404 without a stamp).
+    /// "late=N" (responds after N ms), "no-stamp" (runs the request, responds with an empty stamp),
+    /// "unknown" (runs the request, responds with 404 without a stamp), "status=TEXT" (runs the
+    /// request, responds with TEXT for the status code) and "line=TEXT" (runs the request, responds
+    /// with TEXT as a further line of the head).
     std::string mode = "ok";
     /// The number of requests received, except health checks.
     std::uint64_t arrivals = 0;
--- a/test/unit/entryfixture.h
+++ b/test/unit/entryfixture.h
@@ -53,6 +53,12 @@
         m_latest.lock()->send("HTTP/1.1 " + statusLine + "\r\nX-Request-Id: " + m_arrived.back()
                               + "\r\n" + header + "\r\nContent-Length: 0\r\n\r\n");
     }
+    /// Sends bytes in response to the latest request.
+    void sendBytes(const std::string &bytes) { m_latest.lock()->send(bytes); }
+    /// Closes the connection of the latest request.
+    void closeConnection() { m_latest.lock()->close(); }
+    /// Returns the number of connections that were accepted.
+    std::size_t connections() const { return m_server.accepted(); }
 
 private:
     void onBytes(const ScriptedServer::ConnectionPtr &connection)
