Reject responses whose body has no certain end or an unknown coding

A caller could get a body that was not the target's: one in a transfer coding such as gzip, without the field that says so; bytes behind a 204; or a final body with an interim response's in front. A valid 304 that states a length took its body from the bytes that followed, or waited for them.

Cause: the parser library reads any coding that does not end with chunked up to the end of the connection, decodes chunks whatever was applied before, also in HTTP/1.0, and reads a body by its length whatever the status is.

Lengths that differ, a length beside chunks and lengths that are no number were rejected already; their tests stay.

Fix: HttpParser rejects every transfer coding but a single chunked in HTTP/1.1, and a body of an interim response or a 204; a 304 is complete after its head, as one to HEAD is. With that the end of each accepted body follows from its head alone, as RFC 9112, section 6.3, has it.

--- a/src/http/httpparser.cpp
+++ b/src/http/httpparser.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/httpstatus.h"
+
 namespace mangoshift {
 
 namespace {
@@ -20,6 +22,27 @@
                        });
 }
 
+std::string_view withoutTrailingBlanks(std::string_view value)
+{
+    return value.substr(0, value.find_last_not_of(" \t") + 1);
+}
+
+/// Returns whether the end of a response's body cannot be told from its head, or the body would
+/// have to be decoded. The underlying parser rejects several lengths, and a length beside chunks.
+bool hasInvalidFraming(const http_parser &parser, const HttpHeaders &headers)
+{
+    const int status = parser.status_code;
+    const bool cannotHaveBody = httpstatus::isInterim(status) || status == httpstatus::NoContent;
+    if (headers.contains("transfer-encoding")) {
+        const bool isHttp10 = parser.http_minor == 0;
+        const bool isChunked = headers.count("transfer-encoding") == 1
+            && isSameHeader(withoutTrailingBlanks(headers.value("transfer-encoding")), "chunked");
+        return cannotHaveBody || isHttp10 || !isChunked;
+    }
+    const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
+    return cannotHaveBody && hasLength && parser.content_length > 0;
+}
+
 HttpParser *parserOf(http_parser *parser)
 {
     return static_cast<HttpParser *>(parser->data);
@@ -163,16 +186,22 @@
     self.m_hasHeaders = true;
     const bool isAmbiguous = parser->type == HTTP_REQUEST
         && (self.m_headers.count("host") > 1 || hasSpaceInName(self.m_headers));
-    if (isAmbiguous) {
+    const bool isInvalid =
+        parser->type == HTTP_RESPONSE && hasInvalidFraming(*parser, self.m_headers);
+    if (isAmbiguous || isInvalid) {
         self.m_fault = HttpFault::Malformed;
         return -1;
     }
+    // The head of such a response describes the body that another request would get.
+    const bool hasNoBody = parser->type == HTTP_RESPONSE
+        && (self.m_isHeadResponse || parser->status_code == httpstatus::NotModified);
     if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length > self.m_limits.body
-        && !self.m_isHeadResponse) {
+        && !hasNoBody) {
         self.m_fault = HttpFault::BodyTooLarge;
         return -1;
     }
-    return parser->type == HTTP_RESPONSE && self.m_isHeadResponse ? 1 : 0;
+    constexpr int skipBody = 1;
+    return hasNoBody ? skipBody : 0;
 }
 
 int HttpParser::onBody(http_parser *parser, const char *at, std::size_t size)
--- a/src/http/httpstatus.h
+++ b/src/http/httpstatus.h
@@ -5,6 +5,8 @@
 // The status codes that the code handles explicitly, with their names from RFC 9110.
 constexpr int SwitchingProtocols = 101;
 constexpr int Ok = 200;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr int RequestTimeout = 408;
@@ -21,4 +23,10 @@
 constexpr int FirstValid = 100;
 constexpr int LastValid = 599;
 
+/// Returns whether a response with this status precedes the final one.
+constexpr bool isInterim(int status)
+{
+    return status < Ok;
+}
+
 } // namespace mangoshift::httpstatus
--- a/src/http/responsesyntax.cpp
+++ b/src/http/responsesyntax.cpp
@@ -38,11 +38,6 @@
     return byte == '\t' || (static_cast<unsigned char>(byte) >= ' ' && byte != '\x7f');
 }
 
-bool isInterim(int status)
-{
-    return status < httpstatus::Ok;
-}
-
 } // namespace
 
 bool ResponseSyntax::accept(std::string_view bytes)
@@ -155,7 +150,7 @@
     if (m_isLastChunk)
         return State::Complete;
     // Bytes that belong to no body follow a final head only if the body has chunks.
-    return isInterim(m_status) ? State::StatusCode : State::ChunkSizeStart;
+    return httpstatus::isInterim(m_status) ? State::StatusCode : State::ChunkSizeStart;
 }
 
 } // namespace mangoshift
--- a/test/unit/brokenresponses.h
+++ b/test/unit/brokenresponses.h
@@ -138,6 +138,40 @@
     return responses;
 }
 
+/// Responses from whose valid lines the end of the body cannot be told, or whose body is encoded.
+inline std::vector<RawResponse> responsesWithBrokenFraming()
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n";
+    const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+    const std::string end = "\r\nX-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string sound = "HTTP/1.1 200 OK" + end;
+    std::vector<RawResponse> responses{
+        {start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n" + chunks},
+        {start + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n" + chunks},
+        {start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks, true},
+        {start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n" + chunks, true},
+        {start + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks, true},
+        {start + "Transfer-Encoding: gzip, chunked\r\n" + chunks},
+        {start + "Transfer-Encoding: chunked, gzip\r\n" + chunks, true},
+        {start + "Transfer-Encoding: chunked, chunked\r\n" + chunks, true},
+        {start + "Transfer-Encoding: xchunked\r\n" + chunks, true},
+        {start + "Transfer-Encoding: chunked;q=1\r\n" + chunks, true},
+        {start + "Transfer-Encoding: gzip\r\n\r\nbody", true},
+        {start + "Transfer-Encoding: identity\r\n\r\nbody", true},
+        {start + "Transfer-Encoding:\r\n\r\nbody", true},
+        {"HTTP/1.0 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n" + chunks},
+        {"HTTP/1.1 204 No Content" + end},
+        {"HTTP/1.1 204 No Content\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n" + chunks},
+        {"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbody" + sound},
+        {"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n" + chunks + sound},
+    };
+    for (const std::string lengths :
+         {"4\r\nContent-Length: 5", "4\r\nContent-Length: 4", "4, 4", "4, 5", "4 4", "4x", "0x4",
+          "+4", "-4", "", "18446744073709551616"})
+        responses.push_back({start + "Content-Length: " + lengths + "\r\n\r\nbody", true});
+    return responses;
+}
+
 /// Valid responses with status 200, the receipt `s` and the body `body`, in unusual forms.
 inline std::vector<RawResponse> unusualSoundResponses()
 {
@@ -162,6 +196,10 @@
         {"HTTP/1.1 200 OK\r\nx-server-stamp: s\r\ncontent-LENGTH:4\r\n\r\nbody"},
         {"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
          "2;name=\"value\"\r\nbo\r\n2\r\ndy\r\n0\r\nX-Late: \xc3\xa9 1\t\r\nX-Empty:\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: \tChunked \r\n\r\n"
+         "004 \r\nbody\r\n000\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length:  004  \r\n\r\nbody"},
+        {"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK" + rest},
     };
 }
 
@@ -170,7 +208,7 @@
 {
     std::vector<RawResponse> all;
     for (const auto &group : {responsesWithBrokenStatusLine(), responsesWithBrokenField(),
-                              responsesWithBrokenChunkLine()})
+                              responsesWithBrokenChunkLine(), responsesWithBrokenFraming()})
         all.insert(all.end(), group.begin(), group.end());
     return all;
 }
--- a/test/unit/brokenresponses_test.cpp
+++ b/test/unit/brokenresponses_test.cpp
@@ -198,6 +198,34 @@
     CHECK(taken.body == "body");
 }
 
+// A response to HEAD, and one with status 304, state the length of a body that they do not have.
+TEST_CASE("A response that has no body by its status or its request is complete after its head")
+{
+    const auto [head, status, isHead] = GENERATE(table<std::string, int, bool>({
+        {"HTTP/1.1 204 No Content\r\n\r\n", 204, false},
+        {"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 204, false},
+        {"HTTP/1.1 304 Not Modified\r\n\r\n", 304, false},
+        {"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", 304, false},
+        {"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n", 304, false},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", 200, true},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200, true},
+        {"HTTP/1.1 200 OK\r\n\r\n", 200, true},
+        {"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 204, true},
+    }));
+    INFO(printable(head));
+    const std::size_t pieceSize = GENERATE(1, 7, 4096);
+    const RawResponse response{head + "next"};
+    HttpParser parser(HttpParser::Side::Responses, {4096, 4096});
+    parser.setIsHeadResponse(isHead);
+    feedAll(parser, response, pieceSize);
+    CHECK(parser.fault() == HttpFault::None);
+    REQUIRE(parser.isComplete());
+    const HttpResponse taken = parser.takeResponse();
+    CHECK(taken.status == status);
+    CHECK(taken.body.empty());
+    CHECK(taken.keepAlive);
+}
+
 TEST_CASE("Channels to a target reject a broken response, and accept an unusual one")
 {
     SECTION("broken")
