Close the connection of a response that further bytes follow

On the serve path, bytes that followed a target's response in the same read could answer the next request: one that the target never got counted as run, with rows that belong to another.

Cause: MessageReader went on parsing the rest of a read after the handler of the first response had returned, and that handler could already have sent the next request on the same connection. The check of an idle connection looks at the socket, not at bytes that were read.

Fix: a response that bytes follow is passed on with keepAlive false, and the bytes are dropped, as entry, the store's connection and HttpClient already handle it. The connection is closed before the handler can send anything on it.

--- a/src/http/messagereader.h
+++ b/src/http/messagereader.h
@@ -11,7 +11,8 @@
 namespace mangoshift {
 
 /// Parses the bytes of a connection and passes each complete message to a handler. `Message` is
-/// `HttpRequest` or `HttpResponse`.
+/// `HttpRequest` or `HttpResponse`. A response that further bytes follow is passed with `keepAlive`
+/// false, since those bytes belong to no request, and they are dropped.
 template <typename Message>
 class MessageReader
 {
@@ -37,10 +38,14 @@
                 return false;
             if (!m_parser.isComplete())
                 return true;
-            if constexpr (IsRequest)
+            if constexpr (IsRequest) {
                 m_handler(m_parser.takeRequest());
-            else
-                m_handler(m_parser.takeResponse());
+            } else {
+                HttpResponse response = m_parser.takeResponse();
+                response.keepAlive = response.keepAlive && size == 0;
+                m_handler(std::move(response));
+                return true;
+            }
         }
         return true;
     }
--- a/test/soak/loadconnection.cpp
+++ b/test/soak/loadconnection.cpp
@@ -88,7 +88,8 @@
             return;
         HttpResponse response = m_parser.takeResponse();
         ++m_responseCount;
-        if (!response.keepAlive)
+        // Bytes after the response belong to no request.
+        if (!response.keepAlive || size > 0)
             close();
         finish(Outcome::Responded, std::move(response));
     }
--- a/test/unit/brokenresponses_test.cpp
+++ b/test/unit/brokenresponses_test.cpp
@@ -285,3 +285,27 @@
         requireAccepted(readByReplay, responsesWithLength(unusualSoundResponses()));
     }
 }
+
+TEST_CASE("What follows a VM's response in the same read answers no other request of a replay")
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    asio::io_context io;
+    std::size_t requests = 0;
+    ScriptedServer vm(io, [&](const ScriptedServer::ConnectionPtr &connection) {
+        connection->received.clear();
+        connection->send(++requests == 1 ? response + "a" + response + "x" : response + "b");
+    });
+    CallerClient client(io, {{"127.0.0.1", vm.endpoint().port()}}, 1);
+    std::vector<std::string> bodies;
+    for (int i = 0; i < 2; ++i) {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/";
+        client.send(std::move(request), 10s, [&](ClientConnection::End, const HttpResponse &each) {
+            bodies.push_back(each.body);
+        });
+    }
+    REQUIRE(runUntil(io, [&] { return bodies.size() == 2; }));
+    CHECK(bodies == std::vector<std::string>{"a", "b"});
+    CHECK(vm.accepted() == 2);
+}
--- a/test/unit/targetpool_test.cpp
+++ b/test/unit/targetpool_test.cpp
@@ -11,6 +11,7 @@
 
 #include "../../standins/servedconnection.h"
 #include "net/targetpool.h"
+#include "scriptedserver.h"
 
 using namespace mangoshift;
 using asio::ip::tcp;
@@ -284,3 +285,44 @@
         CHECK(fixture.results.back().hasSentBytes);
     }
 }
+
+// Guards against bytes of one response being read as the response to a request that is sent from
+// within the first one's handler.
+TEST_CASE("What follows a response in the same read answers no other request")
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    const std::string extra = GENERATE_COPY(as<std::string>(), response + "x",
+                                            "\r\n" + response + "x", "HTTP/1.1 200 OK\r\n", "x");
+    INFO(extra);
+    asio::io_context io;
+    std::size_t requests = 0;
+    ScriptedServer target(io, [&](const ScriptedServer::ConnectionPtr &connection) {
+        if (connection->received.find("\r\n\r\n") == std::string::npos)
+            return;
+        connection->received.clear();
+        connection->send(++requests == 1 ? response + "a" + extra : response + "b");
+    });
+    TargetPool pool(io, {"127.0.0.1", target.endpoint().port()}, 1, LongTimeouts);
+    const auto makeRequest = [](const std::string &id) {
+        PooledRequest request;
+        request.callId = id;
+        request.message.method = "POST";
+        request.message.target = "/";
+        request.deadline = Clock::now() + TestTimeout;
+        request.isCancellable = false;
+        return request;
+    };
+    std::vector<HttpResult> results;
+    pool.send(makeRequest("a"), [&](HttpResult first) {
+        results.push_back(std::move(first));
+        pool.send(makeRequest("b"),
+                  [&](HttpResult second) { results.push_back(std::move(second)); });
+    });
+    REQUIRE(runUntil(io, [&] { return results.size() == 2; }));
+    CHECK(results[0].end == HttpResult::End::Responded);
+    CHECK(results[0].response.body == "a");
+    CHECK(results[1].end == HttpResult::End::Responded);
+    CHECK(results[1].response.body == "b");
+    CHECK(requests == 2);
+    CHECK(target.accepted() == 2);
+}
