Report a home's reply with an unknown verdict as one that may have run

A query whose home replied with an execution or a reason that the VM does not know, as a later release may send, ended with status 500 and "not_run", although targets may have run it.

Cause: QueryDuty cast both numbers of a ShardReply to their enums without a check; looking up the name of an unknown one threw while the response was written.

Fix: verdictFromWire, which replies to submissions used already, reads the verdict of every reply of another VM. An unknown one is a bad reply to a request that may have run, as it proves nothing.

--- a/src/duties/queryduty.cpp
+++ b/src/duties/queryduty.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/jsontext.h"
+#include "duties/verdictwire.h"
 #include "duties/wiretime.h"
 
 namespace mangoshift {
@@ -22,9 +23,7 @@
 {
     ShardOutcome outcome;
     outcome.shard = ShardKey{reply.shard};
-    outcome.verdict.execution = static_cast<Execution>(reply.execution);
-    outcome.verdict.reason = static_cast<Reason>(reply.reason);
-    outcome.verdict.retryAfter = std::chrono::milliseconds(reply.retry_after_ms);
+    outcome.verdict = verdictFromWire(reply.execution, reply.reason, reply.retry_after_ms);
     outcome.snapshot = reply.snapshot;
     outcome.held = {reply.held_oldest, reply.held_newest};
     outcome.rows = std::move(reply.rows);
--- a/src/duties/ticketwire.cpp
+++ b/src/duties/ticketwire.cpp
@@ -5,23 +5,11 @@
 #include <cstdint>
 #include <utility>
 
+#include "duties/verdictwire.h"
 #include "duties/wiretime.h"
 
 namespace mangoshift {
 
-namespace {
-
-Verdict verdictFrom(std::uint8_t execution, std::uint8_t reason, std::uint32_t retryAfterMs)
-{
-    if (execution > static_cast<std::uint8_t>(Execution::Ran)
-        || reason > static_cast<std::uint8_t>(Reason::BudgetSpent))
-        return {Execution::MayHaveRun, Reason::BadReply};
-    return {static_cast<Execution>(execution), static_cast<Reason>(reason),
-            std::chrono::milliseconds(retryAfterMs)};
-}
-
-} // namespace
-
 FramePtr makeTicketRequestFrame(ExchangeId exchange, const SubmissionRequest &request)
 {
     const Clock::time_point now = Clock::now();
@@ -84,13 +72,13 @@
 
 TicketOutcome outcomeFrom(wire::TicketReplyT reply)
 {
-    return {verdictFrom(reply.execution, reply.reason, reply.retry_after_ms),
+    return {verdictFromWire(reply.execution, reply.reason, reply.retry_after_ms),
             std::move(reply.body)};
 }
 
 TicketOutcome outcomeFrom(const wire::ShardReplyT &reply)
 {
-    return {verdictFrom(reply.execution, reply.reason, reply.retry_after_ms), reply.rows};
+    return {verdictFromWire(reply.execution, reply.reason, reply.retry_after_ms), reply.rows};
 }
 
 } // namespace mangoshift
--- a/test/unit/callerduty_test.cpp
+++ b/test/unit/callerduty_test.cpp
@@ -351,3 +351,35 @@
     CHECK(result->has_header("Retry-After") == (status == 503));
     CHECK(problem.contains("retry_after_ms") == (status == 503));
 }
+
+// Another release of a VM may send reasons that this one does not know.
+TEST_CASE("A home's reply with an unknown verdict is not taken for one")
+{
+    const auto [execution, reason] = GENERATE(table<int, int>(
+        {{0, 16}, {0, 255}, {2, 16}, {3, 0}, {3, 2}, {255, 0}, {255, 255}, {1, 255}}));
+    INFO("execution " << execution << " reason " << reason);
+    const Verdict unknown{static_cast<Execution>(execution), static_cast<Reason>(reason)};
+    const bool allowsPartial = GENERATE(false, true);
+    CallerDutyFixture fixture(1, allowsPartial, 2);
+    auto waiting = std::async(std::launch::async, [] {
+        httplib::Client client = CallerDutyFixture::client();
+        return client.Post("/v1/query/search", "{}", "application/json");
+    });
+    fixture.waitUntilSent();
+    fixture.replyWith({unknown, unknown});
+    const auto result = waiting.get();
+    REQUIRE(result);
+    INFO(result->body);
+    const Json answer = Json::parse(result->body);
+    if (allowsPartial) {
+        CHECK(answer.at("complete") == false);
+        CHECK(answer.at("rows").empty());
+        REQUIRE(answer.at("missing").size() == 2);
+    } else {
+        CHECK(result->status == 502);
+    }
+    for (const Json &verdict : allowsPartial ? answer.at("missing") : Json::array({answer})) {
+        CHECK(verdict.at("execution") == "may_have_run");
+        CHECK(verdict.at("reason") == "bad_reply");
+    }
+}
