--- a/src/http/httpparser.cpp
+++ b/src/http/httpparser.cpp
@@ -33,7 +33,7 @@
 /// have to be decoded. The underlying parser rejects several lengths, and a length beside chunks.
 bool hasInvalidFraming(const http_parser &parser, const HttpHeaders &headers)
 {
-    const int status = parser.status_code;
+    const int status = static_cast<int>(parser.status_code);
     const bool cannotHaveBody = httpstatus::isInterim(status) || status == httpstatus::NoContent;
     if (headers.contains("transfer-encoding")) {
         const bool isHttp10 = parser.http_minor == 0;
--- a/test/unit/brokenresponses.h
+++ b/test/unit/brokenresponses.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mangoshift {
@@ -13,6 +15,14 @@
     bool isEndedByClose = false;
 };
 
+inline std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 /// Responses whose status line is not valid HTTP/1.1, and which are complete otherwise.
 inline std::vector<RawResponse> responsesWithBrokenStatusLine()
 {
@@ -99,22 +109,23 @@
     const std::string measured = fields + "Content-Length: 4\r\n\r\nbody";
     const std::string chunked = fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
     for (const std::string &line : lines) {
-        responses.push_back({start + line + "\r\n" + measured});
-        responses.push_back({start + fields + line + "\r\nContent-Length: 4\r\n\r\nbody"});
-        responses.push_back({start + fields + "Content-Length: 4\r\n" + line + "\r\n\r\nbody"});
+        responses.push_back({joined({start, line, "\r\n", measured})});
+        responses.push_back({joined({start, fields, line, "\r\nContent-Length: 4\r\n\r\nbody"})});
         responses.push_back(
-            {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n" + line + "\r\n\r\n" + start + measured});
-        responses.push_back({start + chunked + line + "\r\n\r\n"});
-        responses.push_back({start + chunked + "X-Late: 1\r\n" + line + "\r\n\r\n"});
+            {joined({start, fields, "Content-Length: 4\r\n", line, "\r\n\r\nbody"})});
+        responses.push_back({joined(
+            {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n", line, "\r\n\r\n", start, measured})});
+        responses.push_back({joined({start, chunked, line, "\r\n\r\n"})});
+        responses.push_back({joined({start, chunked, "X-Late: 1\r\n", line, "\r\n\r\n"})});
     }
     // The length of the body depends on how the line is read.
-    for (const std::string name : {"Content-Length ", "Content-Length\t", " Content-Length",
-                                   "Content Length", "Content-Length\x01"})
-        responses.push_back({start + fields + name + ": 4\r\n\r\nbody", true});
-    for (const std::string name :
+    for (const std::string_view name : {"Content-Length ", "Content-Length\t", " Content-Length",
+                                        "Content Length", "Content-Length\x01"})
+        responses.push_back({joined({start, fields, name, ": 4\r\n\r\nbody"}), true});
+    for (const std::string_view name :
          {"Transfer-Encoding ", "Transfer-Encoding\t", " Transfer-Encoding", "Transfer Encoding"})
         responses.push_back(
-            {start + fields + name + ": chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true});
+            {joined({start, fields, name, ": chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}), true});
     // The empty line at the end of a head.
     responses.push_back({start + fields + "Content-Length: 4\r\n\rbody"});
     responses.push_back({start + fields + "Content-Length: 4\r\n\nbody"});
@@ -128,13 +139,13 @@
     std::vector<RawResponse> responses;
     const std::string head =
         "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (const std::string lines :
+    for (const std::string_view lines :
          {"4\r\nbodyXX0\r\n\r\n", "4\r\nbody\rX0\r\n\r\n", "4\r\nbodyX\n0\r\n\r\n",
           "4\rXbody\r\n0\r\n\r\n", "4\nbody\r\n0\r\n\r\n", "4;\x01\r\nbody\r\n0\r\n\r\n",
           "4;\nq\r\nbody\r\n0\r\n\r\n", "4 \x7f\r\nbody\r\n0\r\n\r\n", "0x4\r\nbody\r\n0\r\n\r\n",
           "+4\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n",
           "4\r\nbody\r\n0\n\r\n", "4\r\nbody\r\n0\rX\r\n"})
-        responses.push_back({head + lines});
+        responses.push_back({joined({head, lines})});
     return responses;
 }
 
@@ -165,10 +176,10 @@
         {"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbody" + sound},
         {"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n" + chunks + sound},
     };
-    for (const std::string lengths :
+    for (const std::string_view lengths :
          {"4\r\nContent-Length: 5", "4\r\nContent-Length: 4", "4, 4", "4, 5", "4 4", "4x", "0x4",
           "+4", "-4", "", "18446744073709551616"})
-        responses.push_back({start + "Content-Length: " + lengths + "\r\n\r\nbody", true});
+        responses.push_back({joined({start, "Content-Length: ", lengths, "\r\n\r\nbody"}), true});
     return responses;
 }
 
